internal/levertrial: measure policy and baseline in virtual time

Nodes, upstreams and the platform run in one process on virtual time, joined by fakes at the interfaces.

--- a/internal/leverkernel/hooks.go
+++ b/internal/leverkernel/hooks.go
@@ -26,7 +26,7 @@
 	n.events.Observe(r.Stamp)
 	n.contact.Store(now.UnixNano())
 	n.members.Met(vm, now)
-	if n.members.Answered(vm.ID, now) {
+	if n.members.Answered(vm.ID) {
 		n.events.Add(leverevent.PeerUp, string(vm.ID), "")
 	}
 	if r.Leaving {
--- a/internal/levermember/view.go
+++ b/internal/levermember/view.go
@@ -111,7 +111,7 @@
 
 // Answered takes in that a peer spoke. It reports whether the peer had counted
 // as down.
-func (v *View) Answered(id leverid.VMID, now time.Time) bool {
+func (v *View) Answered(id leverid.VMID) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	e := v.evidence[id]
--- /dev/null
+++ b/internal/levertest/caller.go
@@ -0,0 +1,160 @@
+package levertest
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"arbutuslever.dev/lever/internal/leverhistory"
+	"arbutuslever.dev/lever/internal/leverid"
+	"arbutuslever.dev/lever/internal/leverkernel"
+	"arbutuslever.dev/lever/internal/levermsg"
+	"arbutuslever.dev/lever/internal/leverquery"
+	"arbutuslever.dev/lever/pkg/leverapi"
+)
+
+// Ask is one request of a caller.
+type Ask struct {
+	Service  leverid.ServiceID
+	ID       leverid.RequestID
+	Rank     leverid.Rank
+	Deadline time.Duration
+	Once     bool
+	Body     string
+}
+
+// Send sends a request to a node and records the exchange.
+func (s *System) Send(n *leverkernel.Node, a Ask) leverhistory.Exchange {
+	sent := time.Now()
+	time.Sleep(s.Deployment.Client)
+	req := &leverquery.Request{
+		Service: a.Service, Rank: a.Rank, ID: a.ID, Deadline: sent.Add(a.Deadline), Once: a.Once,
+		Body: levermsg.RawJSON(a.Body),
+	}
+	if a.Once {
+		req.Key = string(a.ID)
+	}
+	life := s.life(n.Self().ID)
+	answer, err := n.Engine().Run(life.ctx, req)
+	time.Sleep(s.Deployment.Client)
+	x := leverhistory.Exchange{
+		Service: a.Service, ID: a.ID, Rank: a.Rank, Once: a.Once, Sent: sent, Took: time.Since(sent),
+	}
+	if life.ctx.Err() != nil {
+		x.Cut = "the VM was killed"
+	} else {
+		x.Answer, x.Problem = convert(a.ID, answer, err)
+	}
+	s.History.Add(x)
+	return x
+}
+
+// convert brings an engine's result into the form that callers see.
+func convert(id leverid.RequestID, a *leverquery.Answer, err error) (*leverapi.Answer, *leverapi.Problem) {
+	var r *leverquery.Refusal
+	if errors.As(err, &r) {
+		return nil, &leverapi.Problem{
+			Type: leverapi.ProblemPrefix + string(r.Reason), Detail: r.Detail,
+			RunState: leverapi.RunState(r.Run.String()),
+		}
+	}
+	out := &leverapi.Answer{
+		RequestID: string(id), Snapshot: uint64(a.Snapshot), Restarted: a.Restarted, Attempts: a.Attempts,
+		Coverage: leverapi.Coverage{Covered: a.Coverage.Covered, Total: a.Coverage.Total},
+	}
+	for _, m := range a.Coverage.Missing {
+		out.Coverage.Missing = append(out.Coverage.Missing, int(m))
+	}
+	for _, m := range a.Coverage.Partial {
+		out.Coverage.Partial = append(out.Coverage.Partial, int(m))
+	}
+	for _, rec := range a.Records {
+		out.Records = append(out.Records, leverapi.Record{
+			Key: rec.Key, Revision: rec.Revision, Value: json.RawMessage(rec.Value),
+		})
+	}
+	return out, nil
+}
+
+// Load is a stream of requests at random times.
+type Load struct {
+	Service leverid.ServiceID
+	Rank    leverid.Rank
+	// Rate is in requests per second.
+	Rate     float64
+	Deadline time.Duration
+	Once     bool
+	Body     string
+	// From and For bound the stream, counted from the call of Run.
+	From, For time.Duration
+	// Label begins the request ids.
+	Label string
+}
+
+// Run sends loads and returns when all their requests are over.
+func (s *System) Run(loads ...Load) {
+	var wg sync.WaitGroup
+	for i, l := range loads {
+		r := &stream{system: s, load: l, wg: &wg, number: i, rng: rand.New(rand.NewPCG(s.seed, uint64(i)))}
+		wg.Add(1)
+		go r.run()
+	}
+	wg.Wait()
+}
+
+// stream sends one load.
+type stream struct {
+	system *System
+	load   Load
+	wg     *sync.WaitGroup
+	number int
+	rng    *rand.Rand
+	turn   atomic.Uint64
+}
+
+func (r *stream) run() {
+	defer r.wg.Done()
+	time.Sleep(r.load.From)
+	end := time.Now().Add(r.load.For)
+	for n := 0; ; n++ {
+		gap := time.Duration(r.rng.ExpFloat64() / r.load.Rate * float64(time.Second))
+		time.Sleep(gap)
+		if time.Now().After(end) {
+			return
+		}
+		c := &call{stream: r, ask: Ask{
+			Service: r.load.Service, Rank: r.load.Rank, Deadline: r.load.Deadline, Once: r.load.Once, Body: r.load.Body,
+			ID: leverid.RequestID(fmt.Sprintf("%s-%d-%d", r.load.Label, r.number, n)),
+		}}
+		r.wg.Add(1)
+		go c.run()
+	}
+}
+
+// pick returns the nodes in turn, as a balancer does that knows which VMs are
+// ready.
+func (r *stream) pick() *leverkernel.Node {
+	nodes := r.system.Nodes()
+	for range nodes {
+		n := nodes[r.turn.Add(1)%uint64(len(nodes))]
+		if n.Ready() {
+			return n
+		}
+	}
+	return nodes[0]
+}
+
+// call is one request of a stream.
+type call struct {
+	stream *stream
+	ask    Ask
+}
+
+func (c *call) run() {
+	defer c.stream.wg.Done()
+	c.stream.system.Send(c.stream.pick(), c.ask)
+}
--- /dev/null
+++ b/internal/levertrial/trial_test.go
@@ -0,0 +1,62 @@
+package levertrial_test
+
+import (
+	"flag"
+	"regexp"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"arbutuslever.dev/lever/internal/levermodel"
+	"arbutuslever.dev/lever/internal/levertrial"
+
+	"github.com/matryer/is"
+)
+
+var (
+	benchCases  = flag.String("cases", "", "cases to measure, a pattern; none by default")
+	benchPolicy = flag.String("policies", "baseline,policy", "policies to compare")
+	benchSeed   = flag.Uint64("seed", 1, "seed")
+	benchVMs    = flag.Int("vms", 7, "entry VMs")
+	benchFleet  = flag.String("deployment", "tw-north", "tw-north or maroc-nord")
+)
+
+func deployment(name string) levermodel.Deployment {
+	if name == "maroc-nord" {
+		return levermodel.MarocNord().Scaled(2)
+	}
+	return levermodel.TwNorth().Scaled(2)
+}
+
+// TestBench prints measurements; scripts/bench.sh runs it.
+func TestBench(t *testing.T) {
+	if *benchCases == "" {
+		t.Skip("run by scripts/bench.sh")
+	}
+	d := deployment(*benchFleet)
+	pattern := regexp.MustCompile(*benchCases)
+	for _, c := range levertrial.Cases(d) {
+		if !pattern.MatchString(c.Name) {
+			continue
+		}
+		for p := range strings.SplitSeq(*benchPolicy, ",") {
+			synctest.Test(t, func(t *testing.T) {
+				r := levertrial.Run(c, levertrial.Setting{Deployment: d, VMs: *benchVMs, Seed: *benchSeed}, levertrial.Policy(p))
+				t.Logf("%s\n%s", c.What, r.Text())
+			})
+		}
+	}
+}
+
+// TestWell is the smallest trial: nothing fails, and nothing is missing.
+func TestWell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := deployment("tw-north")
+		r := levertrial.Run(levertrial.Cases(d)[0], levertrial.Setting{Deployment: d, VMs: 7, Seed: 1}, levertrial.Chosen)
+		is.Equal(len(r.Violations), 0)
+		for _, row := range r.Report.Rows {
+			is.Equal(row.Sent, row.Whole)
+		}
+	})
+}
--- a/internal/leverupstream/client.go
+++ b/internal/leverupstream/client.go
@@ -74,7 +74,7 @@
 	if err := json.NewDecoder(io.LimitReader(w.Body, maxReply)).Decode(&reply); err != nil {
 		return broken(ctx, it, true, err)
 	}
-	out := reply.result(q, it)
+	out := reply.Result(q, it)
 	if out.Outcome == levermsg.Mismatch {
 		// The connection carries replies of other attempts: it is closed
 		// because its body is not read to the end.
--- a/internal/leverupstream/wire.go
+++ b/internal/leverupstream/wire.go
@@ -59,9 +59,9 @@
 	ReasonFailed:   levermsg.Failed,
 }
 
-// result turns a reply into the end of an attempt. A reply that belongs to
+// Result turns a reply into the end of an attempt. A reply that belongs to
 // another attempt or another version counts for nothing.
-func (r *Reply) result(q *levermsg.Query, it levermsg.Item) levermsg.Result {
+func (r *Reply) Result(q *levermsg.Query, it levermsg.Item) levermsg.Result {
 	out := levermsg.Result{
 		Attempt: it.Attempt, Version: r.Version, Run: r.Run,
 		Oldest: r.Oldest, Newest: r.Newest, Detail: r.Detail,
