internal/leverhome: give out room by capacity and standing queue

Cause: homes sent fractions of a per-replica share of the demand and corrected a trim factor that wound up to 1.6 while all was well. At the start of a flood the homes gave out 60% too much, filled their queues to the deadline, then oscillated. A slow replica's fraction also cut down what its healthy twin could take. The crash guard took the loss of a replica of each shard for a crashing request and sent its trial to the lost upstream.

Change: homes send capacity (less what works off a standing queue in 200 ms) and the summed demand; the entry adds up a shard's replicas and allocates by floors and rank. While work is refused only urgent work is hedged and sheds are not retried. A request that another upstream answered is not suspect; a trial may use any replica of the shard.

--- a/internal/levercrash/guard.go
+++ b/internal/levercrash/guard.go
@@ -5,6 +5,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverid"
@@ -30,6 +31,8 @@
 	// suspectLife and barredLife are how long the levels last.
 	suspectLife = 2 * time.Minute
 	barredLife  = 10 * time.Minute
+	// goodLife is how long an answer speaks for a request's innocence.
+	goodLife = 5 * time.Second
 	// suspectResets is the number of different upstreams that must have reset
 	// one request before it is suspect.
 	suspectResets = 2
@@ -55,12 +58,36 @@
 	Fingerprint leverid.Fingerprint
 	Service     leverid.ServiceID
 	Upstream    leverid.UpstreamID
+	Shard       leverid.ShardID
 	// Trial marks the single attempt of a suspect request.
 	Trial bool
 }
 
+// resetAt is one reset that counts towards suspicion.
+type resetAt struct {
+	at    time.Time
+	shard leverid.ShardID
+}
+
+// evidence is what is known of one fingerprint that was reset.
 type evidence struct {
-	upstreams map[leverid.UpstreamID]time.Time
+	upstreams map[leverid.UpstreamID]resetAt
+	// good is when an upstream last answered a request with the fingerprint.
+	good time.Time
+}
+
+// suspicious reports whether the resets are more than ordinary crashes would
+// make: the request was reset by two upstreams and no other one answered it, or
+// by two replicas of one shard.
+func (e *evidence) suspicious(now time.Time) bool {
+	perShard := make(map[leverid.ShardID]int)
+	for _, r := range e.upstreams {
+		perShard[r.shard]++
+		if perShard[r.shard] >= suspectResets {
+			return true
+		}
+	}
+	return len(e.upstreams) >= suspectResets && now.Sub(e.good) > goodLife
 }
 
 // Guard holds the fingerprints. The zero value is ready to use. It is safe for
@@ -70,7 +97,9 @@
 	evidence map[leverid.Fingerprint]*evidence
 	entries  map[leverid.Fingerprint]Entry
 	trials   map[leverid.Fingerprint]bool
-	changed  uint64
+	// watched is the number of fingerprints with evidence.
+	watched atomic.Int64
+	changed uint64
 }
 
 // Level returns the level of a fingerprint and, for a suspect, the upstream
@@ -92,7 +121,7 @@
 	defer g.mu.Unlock()
 	g.expire(now)
 	old := g.entries[r.Fingerprint]
-	n := g.note(r, now)
+	ev := g.note(r, now)
 	switch {
 	case old.Level == Barred:
 		return Barred, false
@@ -100,12 +129,33 @@
 		return Barred, g.raise(r, Barred, now)
 	case old.Level == Suspect:
 		return Suspect, false
-	case n >= suspectResets:
+	case ev.suspicious(now):
 		return Suspect, g.raise(r, Suspect, now)
 	}
 	return Clear, false
 }
 
+// Good takes in that an upstream answered a request with the fingerprint: its
+// resets at other shards are then ordinary crashes. It is cheap while no
+// request was reset.
+func (g *Guard) Good(f leverid.Fingerprint, shard leverid.ShardID, now time.Time) {
+	if g.watched.Load() == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ev := g.evidence[f]
+	if ev == nil {
+		return
+	}
+	ev.good = now
+	for u, r := range ev.upstreams {
+		if r.shard == shard {
+			delete(ev.upstreams, u)
+		}
+	}
+}
+
 // Pass takes in that a trial went well: the fingerprint is clear again.
 func (g *Guard) Pass(f leverid.Fingerprint, now time.Time) bool {
 	g.mu.Lock()
@@ -189,17 +239,18 @@
 	return out, g.changed
 }
 
-func (g *Guard) note(r Reset, now time.Time) int {
+func (g *Guard) note(r Reset, now time.Time) *evidence {
 	if g.evidence == nil {
 		g.evidence = make(map[leverid.Fingerprint]*evidence)
 	}
 	ev := g.evidence[r.Fingerprint]
 	if ev == nil {
-		ev = &evidence{upstreams: make(map[leverid.UpstreamID]time.Time)}
+		ev = &evidence{upstreams: make(map[leverid.UpstreamID]resetAt)}
 		g.evidence[r.Fingerprint] = ev
 	}
-	ev.upstreams[r.Upstream] = now
-	return len(ev.upstreams)
+	ev.upstreams[r.Upstream] = resetAt{now, r.Shard}
+	g.watched.Store(int64(len(g.evidence)))
+	return ev
 }
 
 func (g *Guard) raise(r Reset, level Level, now time.Time) bool {
@@ -241,8 +292,8 @@
 
 func (g *Guard) expire(now time.Time) {
 	for f, ev := range g.evidence {
-		for u, at := range ev.upstreams {
-			if now.Sub(at) > evidenceLife {
+		for u, r := range ev.upstreams {
+			if now.Sub(r.at) > evidenceLife {
 				delete(ev.upstreams, u)
 			}
 		}
@@ -250,6 +301,7 @@
 			delete(g.evidence, f)
 		}
 	}
+	g.watched.Store(int64(len(g.evidence)))
 	for f, e := range g.entries {
 		if !now.Before(e.Until) {
 			delete(g.entries, f)
--- a/internal/leverhome/gate.go
+++ b/internal/leverhome/gate.go
@@ -12,18 +12,22 @@
 )
 
 const (
-	// serviceWeight is the weight of a new service time in the average.
-	serviceWeight = 0.05
-	// startService is assumed before the first reply.
-	startService = 5 * time.Millisecond
-	// admitPeriod is how often the admitted fractions are worked out.
-	admitPeriod = 50 * time.Millisecond
-	// trimPeriod is how often the estimate of the capacity is corrected.
-	trimPeriod = 100 * time.Millisecond
-	trimDown   = 0.92
-	trimUp     = 1.04
-	trimLeast  = 0.3
-	trimMost   = 1.6
+	// tookWeight is the weight of a new time in the mean time of an attempt.
+	tookWeight = 0.05
+	// startTook is assumed before the first reply.
+	startTook = 5 * time.Millisecond
+	// leastTook bounds the estimate of the capacity.
+	leastTook = 100 * time.Microsecond
+	// roomPeriod is how often the room is worked out.
+	roomPeriod = 50 * time.Millisecond
+	// usablePart of the capacity is given out, so that queues can shrink.
+	usablePart = 0.97
+	// drainTime is the time in which a queue that stands is to be worked off.
+	drainTime = 200 * time.Millisecond
+	// leastPart of the capacity is given out however long the queue is.
+	leastPart = 0.2
+	// waitPart of the time left may pass in the queue.
+	waitPart = 0.5
 )
 
 // gate is the way to one upstream: its queue, its slots and its measure of how
@@ -40,22 +44,21 @@
 	jobs    map[*leverrank.Ticket]*job
 	running map[*job]bool
 	reports leverrank.Reports
+	served  leverrank.Meter
 
-	took     time.Duration // mean time of an attempt
-	trim     float64
-	trimmed  time.Time
-	leastQ   int
+	// took is the mean time of an attempt.
+	took time.Duration
+	// standing is the shortest queue since the room was worked out last.
+	standing int
 	worked   time.Time
-	grant    levermsg.RankRates
-	admit    [leverid.RankCount]float32
-	admitted bool
+	room     levermsg.Room
 }
 
 func newGate(h *Home, s leverid.ServiceID, u leversnapshot.Upstream, p Policy) *gate {
 	g := &gate{
 		home: h, service: s, upstream: u,
 		jobs: make(map[*leverrank.Ticket]*job), running: make(map[*job]bool),
-		took: startService, trim: 1, admit: everything,
+		took: startTook,
 	}
 	g.setPolicy(p)
 	return g
@@ -85,10 +88,10 @@
 	g.limiter = factory(slots)
 }
 
-func (g *gate) report(vm leverid.VMID, rates levermsg.RankRates, share float64) {
+func (g *gate) report(vm leverid.VMID, rates levermsg.RankRates) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.reports.Set(vm, rates, share, g.home.Timer.Now())
+	g.reports.Set(vm, rates, g.home.Timer.Now())
 }
 
 // submit queues a job, or refuses it if it can't be done in time.
@@ -96,7 +99,7 @@
 	now := g.home.Timer.Now()
 	g.mu.Lock()
 	g.refresh(now)
-	if now.Add(g.expectedWait(j.query.Rank) + g.took/2).After(j.query.Deadline) {
+	if g.hopeless(j, now) {
 		g.mu.Unlock()
 		g.home.Counters.Add("home-shed-"+j.query.Rank.String(), 1)
 		j.end(g.hint(levermsg.Result{Outcome: levermsg.Shed, Detail: "the queue is too long for the deadline"}))
@@ -110,27 +113,37 @@
 	g.launch(ready, late)
 }
 
+// hopeless reports whether a new job would wait for too much of its time.
+func (g *gate) hopeless(j *job, now time.Time) bool {
+	left := j.query.Deadline.Sub(now) - g.took/2
+	wait := g.expectedWait(j.query.Rank, now)
+	return wait > 0 && float64(wait) > waitPart*float64(left)
+}
+
 // expectedWait is the time until a new job of a rank gets a slot, at the rate
-// that the rank is granted.
-func (g *gate) expectedWait(r leverid.Rank) time.Duration {
-	limit := g.limiter.Limit(g.home.Timer.Now())
-	if len(g.running) < limit {
+// that is left to the rank by the others.
+func (g *gate) expectedWait(r leverid.Rank, now time.Time) time.Duration {
+	if len(g.running) < g.limiter.Limit(now) {
 		return 0
 	}
-	rate := g.capacity()
-	if g.admitted && g.grant[r] > 0 && g.queue.Total() > limit {
-		rate = min(rate, max(g.grant[r], g.queue.Floors[r]*rate))
-	}
-	ahead := float64(g.queue.Len(r) + 1)
-	if !g.admitted {
-		ahead = float64(g.queue.Ahead(r) + 1)
+	capacity := g.capacity(now)
+	served := g.served.Rates(now)
+	rate := capacity
+	for other := range served {
+		switch {
+		case other < int(r):
+			rate -= served[other]
+		case other > int(r):
+			rate -= min(served[other], g.queue.Floors[other]*capacity)
+		}
 	}
-	return time.Duration(ahead / rate * float64(time.Second))
+	rate = max(rate, g.queue.Floors[r]*capacity, 1)
+	return time.Duration(float64(g.queue.Len(r)+1) / rate * float64(time.Second))
 }
 
-func (g *gate) capacity() float64 {
-	limit := g.limiter.Limit(g.home.Timer.Now())
-	return float64(limit) / max(g.took, 100*time.Microsecond).Seconds()
+// capacity is the work per second that the upstream does with all slots busy.
+func (g *gate) capacity(now time.Time) float64 {
+	return float64(g.limiter.Limit(now)) / max(g.took, leastTook).Seconds()
 }
 
 // next takes the jobs that may start now out of the queue. Jobs whose deadline
@@ -149,9 +162,10 @@
 			continue
 		}
 		g.running[j] = true
+		g.served.Add(j.query.Rank, now)
 		ready = append(ready, j)
 	}
-	g.leastQ = min(g.leastQ, g.queue.Total())
+	g.standing = min(g.standing, g.queue.Total())
 	return ready, late
 }
 
@@ -172,7 +186,7 @@
 	delete(g.running, j)
 	g.limiter.Observe(res.Outcome, now)
 	if res.Outcome == levermsg.OK {
-		g.took += time.Duration(serviceWeight * float64(res.Service-g.took))
+		g.took += time.Duration(tookWeight * float64(res.Service-g.took))
 	}
 	g.refresh(now)
 	ready, late := g.next(now)
@@ -214,35 +228,20 @@
 func (g *gate) hint(res levermsg.Result) levermsg.Result {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	res.Admit = g.admit
+	res.Room = g.room
 	return res
 }
 
-// refresh works out the admitted fractions from the demand that the entry VMs
-// report. The estimate of the capacity is corrected by the queue: a queue that
-// never emptied means that it is too high, one that did that it may be too low.
+// refresh works the room out: the capacity, less what it takes to work off a
+// queue that stands longer than the slots.
 func (g *gate) refresh(now time.Time) {
-	if now.Sub(g.trimmed) >= trimPeriod {
-		g.correct()
-		g.trimmed = now
-		g.leastQ = g.queue.Total()
-	}
-	if now.Sub(g.worked) < admitPeriod {
+	if now.Sub(g.worked) < roomPeriod {
 		return
 	}
 	g.worked = now
-	demand := g.reports.Sum(now)
-	g.grant = leverrank.Allocate(g.capacity()*g.trim, demand, g.queue.Floors)
-	g.admit = leverrank.Fractions(g.grant, demand)
-	g.admitted = true
-}
-
-func (g *gate) correct() {
-	limit := g.limiter.Limit(g.home.Timer.Now())
-	switch {
-	case g.leastQ > limit:
-		g.trim = max(g.trim*trimDown, trimLeast)
-	case g.leastQ == 0:
-		g.trim = min(g.trim*trimUp, trimMost)
-	}
+	capacity := g.capacity(now)
+	excess := float64(g.standing - g.limiter.Limit(now))
+	room := usablePart*capacity - max(excess, 0)/drainTime.Seconds()
+	g.room = levermsg.Room{Capacity: max(room, leastPart*capacity), Demand: g.reports.Sum(now)}
+	g.standing = g.queue.Total()
 }
--- a/internal/leverhome/home.go
+++ b/internal/leverhome/home.go
@@ -95,7 +95,7 @@
 		return
 	}
 	g := h.gate(b.Query.Service, u)
-	g.report(b.From, b.Demand, j.item.Share)
+	g.report(b.From, b.Demand)
 	g.submit(j)
 }
 
--- a/internal/leverhome/job.go
+++ b/internal/leverhome/job.go
@@ -39,7 +39,7 @@
 		res.Alone = g.alone(j)
 		g.home.Crashes.Reset(levercrash.Reset{
 			Fingerprint: j.query.Fingerprint, Service: j.query.Service,
-			Upstream: j.item.Upstream, Trial: j.query.Trial,
+			Upstream: j.item.Upstream, Shard: j.item.Shard, Trial: j.query.Trial,
 		})
 	}
 	g.finish(j, res)
@@ -80,16 +80,10 @@
 // end delivers the job's result.
 func (j *job) end(res levermsg.Result) {
 	res.Attempt = j.item.Attempt
-	if res.Admit == ([leverid.RankCount]float32{}) {
-		res.Admit = everything
-	}
 	j.cancel()
 	j.owner.deliver(res)
 }
 
-// everything is the hint of a home that knows no bound.
-var everything = [leverid.RankCount]float32{1, 1, 1}
-
 func (h *Home) find(u leverid.UpstreamID) *gate {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/leverkernel/crash.go
+++ b/internal/leverkernel/crash.go
@@ -87,6 +87,11 @@
 	}
 }
 
+// Good takes in that an upstream answered a request.
+func (c *crashes) Good(f leverid.Fingerprint, shard leverid.ShardID) {
+	c.guard.Good(f, shard, c.node.timer.Now())
+}
+
 // Settle waits until the other VMs know, or for a short time.
 func (c *crashes) Settle(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
--- a/internal/leverkernel/force.go
+++ b/internal/leverkernel/force.go
@@ -156,7 +156,7 @@
 func (c *catalog) Service(id leverid.ServiceID) leverquery.Settings {
 	s := c.node.force.Load().doc.Service(id)
 	return leverquery.Settings{
-		Admission: s.Admission, Retry: s.Retry, Hedge: s.Hedge,
+		Admission: s.Admission, Floors: s.Floors(), Retry: s.Retry, Hedge: s.Hedge,
 		RetryPart: s.RetryPart, HedgePart: s.HedgePart, HedgeQuantile: s.HedgeQuantile,
 		LeastCoverage: s.LeastCoverage, OnShort: leverquery.OnShort(s.OnShort),
 		AnswerAfter:  time.Duration(s.AnswerAfterMS * float64(time.Millisecond)),
--- a/internal/levermsg/query.go
+++ b/internal/levermsg/query.go
@@ -64,8 +64,6 @@
 	Attempt  leverid.AttemptID  `msgpack:"a"`
 	Shard    leverid.ShardID    `msgpack:"s"`
 	Upstream leverid.UpstreamID `msgpack:"u"`
-	// Share is the part of the entry VM's demand that reaches this upstream.
-	Share float64 `msgpack:"h"`
 	// Extra marks a retry or a hedge.
 	Extra bool `msgpack:"e"`
 }
@@ -127,6 +125,16 @@
 	return "invalid"
 }
 
+// Room is an upstream's load as its home sees it.
+type Room struct {
+	// Capacity is the work per second that the upstream has room for; zero if
+	// the home does not know.
+	Capacity float64 `msgpack:"c"`
+	// Demand is the sum of what the entry VMs offer to the service, in
+	// queries per second.
+	Demand RankRates `msgpack:"d"`
+}
+
 // Result is the end of one attempt.
 type Result struct {
 	Attempt leverid.AttemptID    `msgpack:"a"`
@@ -146,9 +154,8 @@
 	// Alone means that a reset hit no attempt of another request at the
 	// same upstream at the same time.
 	Alone bool `msgpack:"e"`
-	// Admit is the fraction of offered work, by rank, that the upstream has
-	// room for.
-	Admit [leverid.RankCount]float32 `msgpack:"m"`
+	// Room is what the upstream's home knows of its load.
+	Room Room `msgpack:"m"`
 	// Detail explains a failure to an operator.
 	Detail string `msgpack:"d"`
 }
--- a/internal/leverquery/engine.go
+++ b/internal/leverquery/engine.go
@@ -47,6 +47,8 @@
 	Trial(f leverid.Fingerprint) (levercrash.Level, leverid.UpstreamID)
 	Reset(r levercrash.Reset) levercrash.Level
 	Pass(f leverid.Fingerprint)
+	// Good takes in that an upstream answered a request.
+	Good(f leverid.Fingerprint, shard leverid.ShardID)
 	// Settle waits until the other VMs know the present levels, or until a
 	// short time has passed.
 	Settle(ctx context.Context)
--- a/internal/leverquery/fanout.go
+++ b/internal/leverquery/fanout.go
@@ -55,10 +55,10 @@
 	pin     leversnapshot.Pin
 	query   levermsg.Query
 
-	// asked are the shards that the query needs; only, if set, is the one
-	// upstream that may be called.
+	// asked are the shards that the query needs; single keeps each to one
+	// attempt at a time.
 	asked        []leverid.ShardID
-	only         leverid.UpstreamID
+	single       bool
 	shards       []shard
 	attempts     map[leverid.AttemptID]*attempt
 	mail         *mailbox
--- a/internal/leverquery/plan.go
+++ b/internal/leverquery/plan.go
@@ -30,9 +30,10 @@
 }
 
 // hedge sends a second attempt beside each first one that is slow. After a
-// reset nothing is hedged: the request may be one that crashes upstreams.
+// reset nothing is hedged: the request may be one that crashes upstreams. While
+// work is being refused for want of room, only urgent work is hedged.
 func (f *fanout) hedge(ctx context.Context) {
-	if f.resets > 0 {
+	if f.single || f.resets > 0 || (f.service.saturated() && f.req.Rank != leverid.Urgent) {
 		return
 	}
 	var slow []leverid.ShardID
@@ -90,19 +91,7 @@
 	if !extra {
 		f.service.upstream(c.Upstream).First(1)
 	}
-	return levermsg.Item{Attempt: a.id, Shard: id, Upstream: c.Upstream, Extra: extra, Share: f.share(id)}
-}
-
-// share is the part of the demand that reaches each replica in use.
-func (f *fanout) share(id leverid.ShardID) float64 {
-	now := f.engine.Timer.Now()
-	n := 0
-	for _, u := range f.pin.Map.Shards[id].Replicas {
-		if !f.engine.Replicas.Avoided(u, now) {
-			n++
-		}
-	}
-	return 1 / float64(max(n, 1))
+	return levermsg.Item{Attempt: a.id, Shard: id, Upstream: c.Upstream, Extra: extra}
 }
 
 func (f *fanout) dispatch(ctx context.Context, home leverid.VMID, b *levermsg.Batch) {
@@ -141,9 +130,6 @@
 	replicas := f.pin.Map.Shards[id].Replicas
 	cs := make([]leverroute.Candidate, 0, len(replicas))
 	for _, u := range replicas {
-		if f.only != "" && u != f.only {
-			continue
-		}
 		if up, ok := f.pin.Index.Upstream(u); ok {
 			cs = append(cs, leverroute.Candidate{Upstream: u, Domain: up.Domain, Slots: up.Slots})
 		}
--- a/internal/leverquery/service.go
+++ b/internal/leverquery/service.go
@@ -25,6 +25,7 @@
 // Settings are the parts of a service's configuration that a query needs.
 type Settings struct {
 	Admission     string
+	Floors        leverrank.Floors
 	Retry         string
 	Hedge         string
 	RetryPart     float64
@@ -40,8 +41,8 @@
 
 // hint is what an upstream's home last said about its room.
 type hint struct {
-	admit [leverid.RankCount]float32
-	at    time.Time
+	room levermsg.Room
+	at   time.Time
 }
 
 const (
@@ -71,6 +72,7 @@
 	hints     map[leverid.UpstreamID]hint
 	digested  time.Time
 	upstreams map[leverid.UpstreamID]leverretry.Budget
+	full      bool
 	least     time.Duration
 	lastLeast time.Duration
 	leastAt   time.Time
@@ -138,14 +140,21 @@
 }
 
 // hinted takes in a home's hint.
-func (s *service) hinted(u leverid.UpstreamID, admit [leverid.RankCount]float32, now time.Time) {
+func (s *service) hinted(u leverid.UpstreamID, room levermsg.Room, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hints[u] = hint{admit, now}
+	s.hints[u] = hint{room, now}
 }
 
-// digest sums the hints up into what the admitter lets in: a shard has room for
-// the mean of its replicas' fractions, a query for the least of its shards'.
+// saturated reports whether work is refused for want of room.
+func (s *service) saturated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.full
+}
+
+// digest sums the hints up into what the admitter lets in: a shard has the room
+// of all its replicas, and a query needs room at every shard.
 func (s *service) digest(pin leversnapshot.Pin, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -155,39 +164,37 @@
 	s.digested = now
 	least := [leverid.RankCount]float32{1, 1, 1}
 	for _, shard := range pin.Map.Shards {
-		mean := s.shardRoom(shard, now)
+		part := s.shardRoom(shard, now)
 		for r := range least {
-			least[r] = min(least[r], mean[r])
+			least[r] = min(least[r], part[r])
 		}
 	}
+	s.full = least != [leverid.RankCount]float32{1, 1, 1}
 	s.admitter.Feedback(least, now)
 }
 
+// shardRoom returns the fraction of each rank's demand that a shard has room
+// for. A replica that nothing is known of has room for everything.
 func (s *service) shardRoom(shard leversnapshot.Shard, now time.Time) [leverid.RankCount]float32 {
-	var sum [leverid.RankCount]float32
-	n := float32(0)
+	var capacity float64
+	var demand levermsg.RankRates
 	for _, u := range shard.Replicas {
 		if s.engine.Replicas.Avoided(u, now) {
 			continue
 		}
-		n++
 		h, ok := s.hints[u]
-		fresh := ok && now.Sub(h.at) < hintLife
-		for r := range sum {
-			if fresh {
-				sum[r] += h.admit[r]
-			} else {
-				sum[r]++
-			}
+		if !ok || now.Sub(h.at) > hintLife {
+			return [leverid.RankCount]float32{1, 1, 1}
+		}
+		capacity += h.room.Capacity
+		for r := range demand {
+			demand[r] = max(demand[r], h.room.Demand[r])
 		}
 	}
-	if n == 0 {
+	if capacity == 0 {
 		return [leverid.RankCount]float32{1, 1, 1}
 	}
-	for r := range sum {
-		sum[r] /= n
-	}
-	return sum
+	return leverrank.Fractions(leverrank.Allocate(capacity, demand, s.settings.Floors), demand)
 }
 
 // answered remembers the fastest answers of the last seconds.
--- a/internal/leverquery/settle.go
+++ b/internal/leverquery/settle.go
@@ -25,8 +25,8 @@
 	took := now.Sub(a.started)
 	change := e.Replicas.Ended(a.upstream, res.Outcome, took, now)
 	e.Counters.Add("outcome-"+res.Outcome.String(), 1)
-	if res.Outcome != levermsg.HomeLost && res.Admit != ([leverid.RankCount]float32{}) {
-		s.hinted(a.upstream, res.Admit, now)
+	if res.Room.Capacity > 0 {
+		s.hinted(a.upstream, res.Room, now)
 	}
 	if res.Outcome == levermsg.OK && !a.extra {
 		s.hedger.Observe(took, now)
@@ -73,6 +73,7 @@
 // whole one from another replica replaces it.
 func (f *fanout) accept(a *attempt, res levermsg.Result) {
 	s := &f.shards[a.shard]
+	f.engine.Crashes.Good(f.query.Fingerprint, a.shard)
 	f.records.Add(res.Records)
 	s.partial = res.Partial
 	s.done = true
@@ -98,7 +99,8 @@
 func (f *fanout) reset(a *attempt) bool {
 	f.resets++
 	level := f.engine.Crashes.Reset(levercrash.Reset{
-		Fingerprint: f.query.Fingerprint, Service: f.req.Service, Upstream: a.upstream, Trial: f.query.Trial,
+		Fingerprint: f.query.Fingerprint, Service: f.req.Service, Upstream: a.upstream,
+		Shard: a.shard, Trial: f.query.Trial,
 	})
 	if level > levercrash.Clear {
 		f.stopped = level
@@ -128,7 +130,7 @@
 		// No upstream worked on it: another try costs none of them anything.
 		return true
 	case levermsg.Shed:
-		if f.allowed(a) {
+		if !f.service.saturated() && f.allowed(a) {
 			f.retries = append(f.retries, retry{f.engine.Timer.Now().Add(shedPause), a.shard})
 			return false
 		}
--- a/internal/leverquery/trial.go
+++ b/internal/leverquery/trial.go
@@ -16,9 +16,8 @@
 	if level == levercrash.Clear {
 		return nil
 	}
-	shard, upstream := trialAt(pin.Map, upstream)
-	f := newFanout(e, s, req, pin, []leverid.ShardID{shard})
-	f.only = upstream
+	f := newFanout(e, s, req, pin, []leverid.ShardID{trialAt(pin.Map, upstream)})
+	f.single = true
 	f.query.Trial = true
 	f.run(ctx)
 	e.Crashes.Settle(ctx)
@@ -37,13 +36,13 @@
 	return r
 }
 
-// trialAt names the upstream that a trial goes to and its shard: the one that
-// ended the request's connection, or any if the map lacks it.
-func trialAt(m leversnapshot.Map, upstream leverid.UpstreamID) (leverid.ShardID, leverid.UpstreamID) {
+// trialAt names the shard that a trial goes to: that of the upstream that ended
+// the request's connection, or any if the map lacks it.
+func trialAt(m leversnapshot.Map, upstream leverid.UpstreamID) leverid.ShardID {
 	for i, sh := range m.Shards {
 		if slices.Contains(sh.Replicas, upstream) {
-			return leverid.ShardID(i), upstream
+			return leverid.ShardID(i)
 		}
 	}
-	return 0, m.Shards[0].Replicas[0]
+	return 0
 }
--- a/internal/leverrank/demand.go
+++ b/internal/leverrank/demand.go
@@ -73,13 +73,10 @@
 }
 
 // Set replaces the report of one VM.
-func (p *Reports) Set(vm leverid.VMID, rates levermsg.RankRates, share float64, now time.Time) {
+func (p *Reports) Set(vm leverid.VMID, rates levermsg.RankRates, now time.Time) {
 	if p.byVM == nil {
 		p.byVM = make(map[leverid.VMID]report)
 	}
-	for r := range rates {
-		rates[r] *= share
-	}
 	p.byVM[vm] = report{rates: rates, at: now}
 }
 
--- a/internal/levertest/caller.go
+++ b/internal/levertest/caller.go
@@ -126,8 +126,12 @@
 		if time.Now().After(end) {
 			return
 		}
+		body := r.load.Body
+		if body == "" {
+			body = fmt.Sprintf(`{"query": "%s-%d-%d"}`, r.load.Label, r.number, n)
+		}
 		c := &call{stream: r, ask: Ask{
-			Service: r.load.Service, Rank: r.load.Rank, Deadline: r.load.Deadline, Once: r.load.Once, Body: r.load.Body,
+			Service: r.load.Service, Rank: r.load.Rank, Deadline: r.load.Deadline, Once: r.load.Once, Body: body,
 			ID: leverid.RequestID(fmt.Sprintf("%s-%d-%d", r.load.Label, r.number, n)),
 		}}
 		r.wg.Add(1)
--- a/internal/levertrial/cases.go
+++ b/internal/levertrial/cases.go
@@ -11,13 +11,15 @@
 const (
 	span     = 8 * time.Second
 	deadline = 300 * time.Millisecond
-	// capacity of a service with one shard of 2 replicas and 2 slots each, at
-	// a mean of 5.4 ms a request, in queries per second.
-	capacity = 2 * 2 / 0.0054
+	// meanWork is the mean of the lognormal time of the work, in seconds.
+	meanWork = 0.0054
+	// Capacity of a service whose shards have 2 replicas with 2 slots each, in
+	// queries per second.
+	Capacity = 2 * 2 / meanWork
 )
 
 func steady(service leverid.ServiceID, r leverid.Rank, part float64, label string) levertest.Load {
-	return levertest.Load{Service: service, Rank: r, Rate: part * capacity, Deadline: deadline, For: span, Label: label}
+	return levertest.Load{Service: service, Rank: r, Rate: part * Capacity, Deadline: deadline, For: span, Label: label}
 }
 
 // usual is the load of a usual hour on one service: all ranks, under half of
@@ -61,7 +63,7 @@
 				sys.Fleet.Model(sh.Replicas[0]).Lose(time.Hour)
 			}
 		}},
-		{Name: "bulk-flood-10", What: "bulk at 10 times capacity", Loads: with(flood(s, leverid.Bulk, 10)), Measured: ""},
+		{Name: "bulk-flood-10", What: "bulk at 10 times capacity", Loads: with(flood(s, leverid.Bulk, 10))},
 		{Name: "bulk-flood-50", What: "bulk at 50 times capacity", Loads: with(flood(s, leverid.Bulk, 50))},
 		{Name: "routine-flood-50", What: "routine at 50 times capacity", Loads: with(flood(s, leverid.Routine, 50))},
 		{Name: "urgent-flood-10", What: "urgent at 10 times capacity", Loads: with(flood(s, leverid.Urgent, 10))},
--- a/internal/levertrial/result.go
+++ b/internal/levertrial/result.go
@@ -20,34 +20,69 @@
 		}
 	}
 	r.Report = leverreport.Of(measured)
-	r.goodput(c, measured)
+	r.goodput(measured)
 	r.waste(sys.History)
 	r.MostConnections, r.Refused = sys.Fleet.Connections()
 	r.Violations = leverhistory.Checker{CutsAllowed: c.CutsAllowed, ModelData: true}.Check(sys.History)
 	return r
 }
 
-// goodput divides whole answers by the time during which a rank was sent.
-func (r *Result) goodput(c Case, measured []leverhistory.Exchange) {
-	var whole [leverid.RankCount]int
+// goodputFrom is when the count of whole answers begins: a flood has then gone
+// on for a second.
+const goodputFrom = 2 * time.Second
+
+// goodput counts the whole answers to requests sent in the steady part.
+func (r *Result) goodput(measured []leverhistory.Exchange) {
+	if len(measured) == 0 {
+		return
+	}
+	first := measured[0].Sent
 	for _, x := range measured {
-		if x.Answer != nil && x.Answer.Coverage.Whole() {
-			whole[x.Rank]++
+		if x.Sent.Before(first) {
+			first = x.Sent
 		}
 	}
-	var spans [leverid.RankCount]time.Duration
-	for _, l := range c.Loads {
-		if strings.HasPrefix(l.Label, c.Measured) {
-			spans[l.Rank] = max(spans[l.Rank], l.For)
+	for _, x := range measured {
+		if at := x.Sent.Sub(first); at < goodputFrom || at >= span {
+			continue
 		}
-	}
-	for i := range whole {
-		if spans[i] > 0 {
-			r.Goodput[i] = float64(whole[i]) / spans[i].Seconds()
+		if x.Answer != nil && x.Answer.Coverage.Whole() {
+			r.Goodput[x.Rank] += 1 / (span - goodputFrom).Seconds()
 		}
 	}
 }
 
+// Total returns the whole answers per second of all ranks.
+func (r *Result) Total() float64 {
+	sum := 0.0
+	for _, g := range r.Goodput {
+		sum += g
+	}
+	return sum
+}
+
+// Line returns the result as one line of a table; Header names its columns.
+func (r *Result) Line() string {
+	u := &r.Report.Rows[leverid.Urgent]
+	notRun, may, cover, answered := 0, 0, 0.0, 0
+	for i := range r.Report.Rows {
+		w := &r.Report.Rows[i]
+		notRun, may = notRun+w.NotRun, may+w.MayHaveRun
+		cover, answered = cover+w.Coverage*float64(w.Answered), answered+w.Answered
+	}
+	return fmt.Sprintf("%-17s %-9s %6.1f %6.1f %7.1f %8.3f %7.0f %7.0f %7.0f %6.1f%% %6.1f%% %8d %6d %5d",
+		r.Case, r.Policy, ms(u.P50), ms(u.P99), ms(u.P999), 100*cover/float64(max(answered, 1)),
+		r.Goodput[0], r.Goodput[1], r.Goodput[2], 100*r.Total()/Capacity, 100*r.Extra(), notRun, may, len(r.Violations))
+}
+
+// Header names the columns of Line: times are of urgent answers in ms, coverage
+// is the mean over all answers in percent, u/s, r/s and b/s are whole answers
+// per second by rank, good is their sum as a part of the capacity, and extra
+// the runs at upstreams that served no answer.
+const Header = "case              policy       p50    p99   p99.9 coverage     u/s     r/s     b/s    good   extra  not-run may-run viol"
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // waste counts the runs that served no answer.
 func (r *Result) waste(h *leverhistory.History) {
 	useful := make(map[leverid.RequestID]int)
--- a/internal/levertrial/trial_test.go
+++ b/internal/levertrial/trial_test.go
@@ -16,6 +16,7 @@
 var (
 	benchCases  = flag.String("cases", "", "cases to measure, a pattern; none by default")
 	benchPolicy = flag.String("policies", "baseline,policy", "policies to compare")
+	benchLong   = flag.Bool("long", false, "print each result whole")
 	benchSeed   = flag.Uint64("seed", 1, "seed")
 	benchVMs    = flag.Int("vms", 7, "entry VMs")
 	benchFleet  = flag.String("deployment", "tw-north", "tw-north or maroc-nord")
@@ -34,6 +35,7 @@
 		t.Skip("run by scripts/bench.sh")
 	}
 	d := deployment(*benchFleet)
+	t.Log(levertrial.Header)
 	pattern := regexp.MustCompile(*benchCases)
 	for _, c := range levertrial.Cases(d) {
 		if !pattern.MatchString(c.Name) {
@@ -42,7 +44,10 @@
 		for p := range strings.SplitSeq(*benchPolicy, ",") {
 			synctest.Test(t, func(t *testing.T) {
 				r := levertrial.Run(c, levertrial.Setting{Deployment: d, VMs: *benchVMs, Seed: *benchSeed}, levertrial.Policy(p))
-				t.Logf("%s\n%s", c.What, r.Text())
+				if *benchLong {
+					t.Logf("%s\n%s", c.What, r.Text())
+				}
+				t.Log(r.Line())
 			})
 		}
 	}
--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Measures cases in virtual time, baseline beside policy.
+#   scripts/bench.sh [CASES [POLICIES [DEPLOYMENT [SEED [VMS]]]]]
+# CASES is a pattern over the cases' names, POLICIES a list of baseline, direct
+# and policy.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go test ./internal/levertrial -run '^TestBench$' -count=1 -timeout 60m -v -args \
+  -cases "${1:-.}" -policies "${2:-baseline,policy}" -deployment "${3:-tw-north}" -seed "${4:-1}" -vms "${5:-7}" ${LONG:+-long} |
+  grep -vE '^(=== RUN|--- PASS|PASS|ok)' | sed -E 's/^ *trial_test.go:[0-9]+: //; s/^        //'
