internal/leverkernel: prove that changes are in force everywhere and never revert

Tests on virtual time with 7 VMs: 20 racing operators, replies lost before and after the effect, a store down, slow or lost in the middle, relays killed, VMs cut, held and started in an outage, old reads.

Found by them: a VM cut from all peers did not answer. Cause: a peer counted as live again when its doubt lapsed, so each query paid a dial timeout of 400 ms for up to three homes. Now a peer that failed stays down until it speaks; the watchdog asks it with growing pauses, queries never do; a dial waits 200 ms.

--- a/internal/leverkernel/life.go
+++ b/internal/leverkernel/life.go
@@ -129,9 +129,30 @@
 			w.woke(ctx, gap)
 		}
 		w.note()
+		w.probe(ctx, now)
 	}
 }
 
+// probe asks the peers that count as down whether they answer again.
+func (w *watchdog) probe(ctx context.Context, now time.Time) {
+	for _, vm := range w.node.members.Probes(now) {
+		p := &peerProbe{node: w.node, vm: vm}
+		go p.run(ctx)
+	}
+}
+
+// peerProbe asks one peer. Its answer, or its silence, reaches the view of the
+// VMs through the connection's hooks.
+type peerProbe struct {
+	node *Node
+	vm   levermsg.VM
+}
+
+func (p *peerProbe) run(ctx context.Context) {
+	p.node.counters.Add("peer-probes", 1)
+	p.node.spreader.Beat(ctx, p.vm)
+}
+
 // woke compares notes with a peer at once: much may have changed.
 func (w *watchdog) woke(ctx context.Context, gap time.Duration) {
 	n := w.node
--- a/internal/levermember/view.go
+++ b/internal/levermember/view.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// firstDoubt is how long a peer counts as down after one failure. It
-	// doubles with each further one up to maxDoubt, so that a dead VM that
-	// stays in the list is tried seldom, and a live one is back soon.
+	// firstDoubt is how long after a failure a peer is asked again. It doubles
+	// with each further one up to maxDoubt, so that a dead VM that stays in the
+	// list is asked seldom, and a live one is back soon.
 	firstDoubt = 500 * time.Millisecond
 	maxDoubt   = 8 * time.Second
 	// leaveLife is how long a peer's own word that it leaves counts.
@@ -27,7 +27,7 @@
 
 type evidence struct {
 	failures   int
-	downUntil  time.Time
+	probeAt    time.Time
 	leaveUntil time.Time
 }
 
@@ -92,21 +92,35 @@
 
 func byID(a, b levermsg.VM) int { return cmp.Compare(a.ID, b.ID) }
 
-// Failed takes in that a peer did not answer. It reports whether the peer
-// counted as live until now.
+// Failed takes in that a peer did not answer. The peer counts as down until it
+// speaks again. Failed reports whether the peer counted as live until now.
 func (v *View) Failed(id leverid.VMID, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	e := v.of(id)
-	was := !now.Before(e.downUntil)
-	if !was {
+	if now.Before(e.probeAt) {
 		return false
 	}
-	wait := firstDoubt << min(e.failures, 6)
+	first := e.failures == 0
+	e.probeAt = now.Add(min(firstDoubt<<min(e.failures, 6), maxDoubt))
 	e.failures++
-	e.downUntil = now.Add(min(wait, maxDoubt))
 	v.cached = nil
-	return true
+	return first
+}
+
+// Probes returns the peers that count as down and are due to be asked whether
+// they answer again. No request is sent to them before they do.
+func (v *View) Probes(now time.Time) []levermsg.VM {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var due []levermsg.VM
+	for _, m := range v.list {
+		e := v.evidence[m.ID]
+		if e != nil && e.failures > 0 && !now.Before(e.probeAt) {
+			due = append(due, m)
+		}
+	}
+	return due
 }
 
 // Answered takes in that a peer spoke. It reports whether the peer had counted
@@ -119,7 +133,7 @@
 		return false
 	}
 	e.failures = 0
-	e.downUntil = time.Time{}
+	e.probeAt = time.Time{}
 	v.cached = nil
 	return true
 }
@@ -215,7 +229,7 @@
 
 func (v *View) trusted(id leverid.VMID, now time.Time) bool {
 	e := v.evidence[id]
-	return e == nil || (!now.Before(e.downUntil) && !now.Before(e.leaveUntil))
+	return e == nil || (e.failures == 0 && !now.Before(e.leaveUntil))
 }
 
 // Find returns the entry of a VM in the list or among the VMs met.
--- a/internal/leverpeer/client.go
+++ b/internal/leverpeer/client.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 200 * time.Millisecond
 	// watchPeriod is how often a connection with calls in flight is checked.
 	watchPeriod = 100 * time.Millisecond
 	// quietTime is how long such a connection may be silent before a ping,
--- a/internal/levertest/system.go
+++ b/internal/levertest/system.go
@@ -259,8 +259,14 @@
 		n.Stop()
 	}
 	s.History.AddEvents(s.retired)
+	// Virtual time stands still once a test has returned: what is under way
+	// needs to end before.
+	time.Sleep(closeTime)
 }
 
+// closeTime is longer than any timeout of a node.
+const closeTime = 2 * time.Minute
+
 func events(n *leverkernel.Node) []leverapi.Event {
 	var out []leverapi.Event
 	for _, e := range n.Events().Since(leverevent.Stamp(0)) {
@@ -307,42 +313,41 @@
 	return nil
 }
 
-// Get returns an object.
-func (h *heldStore) Get(ctx context.Context, k leverid.ObjectKey) (leverstore.Object, error) {
+// through makes one call to the platform; the host may stand still before it
+// and after it.
+func through[T any](ctx context.Context, h *heldStore, call func() (T, error)) (T, error) {
+	var none T
 	if err := h.reach(ctx); err != nil {
-		return leverstore.Object{}, err
+		return none, err
+	}
+	v, err := call()
+	if reached := h.reach(ctx); err == nil && reached != nil {
+		return none, leverstore.ErrUnknown
 	}
-	return h.Memory.Get(ctx, k)
+	return v, err
+}
+
+// Get returns an object.
+func (h *heldStore) Get(ctx context.Context, k leverid.ObjectKey) (leverstore.Object, error) {
+	return through(ctx, h, func() (leverstore.Object, error) { return h.Memory.Get(ctx, k) })
 }
 
 // Put writes an object.
 func (h *heldStore) Put(ctx context.Context, k leverid.ObjectKey, value []byte, match leverstore.Revision) (leverstore.Revision, error) {
-	if err := h.reach(ctx); err != nil {
-		return 0, err
-	}
-	return h.Memory.Put(ctx, k, value, match)
+	return through(ctx, h, func() (leverstore.Revision, error) { return h.Memory.Put(ctx, k, value, match) })
 }
 
 // List returns the objects below a prefix.
 func (h *heldStore) List(ctx context.Context, p leverid.ObjectKey) (leverstore.Changes, error) {
-	if err := h.reach(ctx); err != nil {
-		return leverstore.Changes{}, err
-	}
-	return h.Memory.List(ctx, p)
+	return through(ctx, h, func() (leverstore.Changes, error) { return h.Memory.List(ctx, p) })
 }
 
 // Watch waits for a change.
 func (h *heldStore) Watch(ctx context.Context, p leverid.ObjectKey, since leverstore.Revision, wait time.Duration) (leverstore.Changes, error) {
-	if err := h.reach(ctx); err != nil {
-		return leverstore.Changes{}, err
-	}
-	return h.Memory.Watch(ctx, p, since, wait)
+	return through(ctx, h, func() (leverstore.Changes, error) { return h.Memory.Watch(ctx, p, since, wait) })
 }
 
 // VMs waits for a newer list.
 func (h *heldStore) VMs(ctx context.Context, since leverstore.Revision, wait time.Duration) (leverstore.VMList, error) {
-	if err := h.reach(ctx); err != nil {
-		return leverstore.VMList{}, err
-	}
-	return h.Memory.VMs(ctx, since, wait)
+	return through(ctx, h, func() (leverstore.VMList, error) { return h.Memory.VMs(ctx, since, wait) })
 }
