internal/leverquery: try a suspect request within its own deadline

Found: (1) the guard of a home counted resets but never the answers, so popular content was held back after two crashes; homes now take in answers too. (2) A query in flight at two crashing upstreams was refused; it is now stopped, tried on one shard and asked once more. (3) An upstream that came back began at one slot and 35 of 1,200 requests were refused as overloaded; it begins at half.

--- a/internal/leverhome/home.go
+++ b/internal/leverhome/home.go
@@ -40,6 +40,7 @@
 	BeginTrial(f leverid.Fingerprint) bool
 	EndTrial(f leverid.Fingerprint)
 	Pass(f leverid.Fingerprint)
+	Good(f leverid.Fingerprint, shard leverid.ShardID)
 }
 
 // Home holds the gates of the upstreams that this VM calls. Its exported
--- a/internal/leverhome/job.go
+++ b/internal/leverhome/job.go
@@ -42,6 +42,9 @@
 			Upstream: j.item.Upstream, Shard: j.item.Shard, Trial: j.query.Trial,
 		})
 	}
+	if res.Outcome == levermsg.OK {
+		g.home.Crashes.Good(j.query.Fingerprint, j.item.Shard)
+	}
 	g.finish(j, res)
 	j.end(g.hint(res))
 }
--- a/internal/leverlimit/limit.go
+++ b/internal/leverlimit/limit.go
@@ -48,11 +48,13 @@
 	// rampTime is how long an upstream that was away takes to get back its
 	// declared slots.
 	rampTime = 2 * time.Second
+	// rampFrom is the part of the slots that it gets at first.
+	rampFrom = 0.5
 )
 
 // Adaptive lowers the limit when the upstream sheds and raises it with each
 // success, never above the declared slots. After the upstream was away it
-// starts again from one.
+// starts again from half of the slots.
 type Adaptive struct {
 	slots  float64
 	limit  float64
@@ -81,7 +83,7 @@
 		a.back = time.Time{}
 		return a.slots
 	}
-	return 1 + part*(a.slots-1)
+	return a.slots * (rampFrom + part*(1-rampFrom))
 }
 
 // Observe takes in the end of an attempt.
--- a/internal/leverquery/engine.go
+++ b/internal/leverquery/engine.go
@@ -112,10 +112,32 @@
 	if req.Once {
 		return e.runOnce(ctx, s, req, pin)
 	}
+	return e.runTried(ctx, s, req, pin)
+}
+
+// runTried asks all shards, after a trial if the request is suspect. A request
+// that becomes suspect on the way is stopped, tried on one shard and, if that
+// goes well, asked once more: most such requests only met an ordinary crash.
+func (e *Engine) runTried(ctx context.Context, s *service, req *Request, pin leversnapshot.Pin) (*Answer, *Refusal) {
 	if refusal := e.runTrial(ctx, s, req, pin); refusal != nil {
 		return nil, refusal
 	}
-	return e.runAll(ctx, s, req, pin)
+	a, refusal := e.runAll(ctx, s, req, pin)
+	if refusal == nil || refusal.Reason != CrashSuspected {
+		return a, refusal
+	}
+	e.Crashes.Settle(ctx)
+	if again := e.runTrial(ctx, s, req, pin); again != nil {
+		again.Run = leverid.MayHaveRun
+		return nil, again
+	}
+	a, again := e.runAll(ctx, s, req, pin)
+	if again != nil {
+		again.Run = leverid.MayHaveRun
+		return nil, again
+	}
+	a.Attempts += refusal.Attempts
+	return a, nil
 }
 
 // marginPart and marginMost are the time kept back for the way to the caller.
--- a/internal/leverquery/plan.go
+++ b/internal/leverquery/plan.go
@@ -123,9 +123,29 @@
 		return leverroute.Candidate{}, false
 	}
 	tried := func(u leverid.UpstreamID) bool { return slices.Contains(s.tried, u) }
+	if f.single {
+		return f.chooseSingle(id, tried)
+	}
 	return f.engine.Replicas.Choose(f.candidates(id), tried, f.engine.Timer.Now())
 }
 
+// chooseSingle picks the same replica on every VM, as long as it answers, so
+// that its home sees all trials of one content.
+func (f *fanout) chooseSingle(id leverid.ShardID, tried func(leverid.UpstreamID) bool) (leverroute.Candidate, bool) {
+	var best leverroute.Candidate
+	var bestScore uint64
+	for _, c := range f.candidates(id) {
+		if tried(c.Upstream) || f.engine.Replicas.Avoided(c.Upstream, f.engine.Timer.Now()) {
+			continue
+		}
+		score := leverid.Hash(f.query.Fingerprint.String(), string(c.Upstream))
+		if best.Upstream == "" || score > bestScore {
+			best, bestScore = c, score
+		}
+	}
+	return best, best.Upstream != ""
+}
+
 func (f *fanout) candidates(id leverid.ShardID) []leverroute.Candidate {
 	replicas := f.pin.Map.Shards[id].Replicas
 	cs := make([]leverroute.Candidate, 0, len(replicas))
