internal/leverpeer: small buffers, one watch for all connections, close unused ones

Cause: a VM of a large fleet has a connection to and from each of its peers; 64 KiB buffers, an outbox of 1,024 frames and a watch goroutine for each would take some 150 KiB a connection. Buffers are 4 KiB, outboxes 64 frames, one loop watches all connections, and one without calls for 30 s is closed.

--- a/internal/leverkernel/node.go
+++ b/internal/leverkernel/node.go
@@ -105,7 +105,7 @@
 	o := n.opts
 	hooks := &hooks{node: n}
 	n.peers = &leverpeer.Client{
-		Self: o.Self, Keys: o.PeerKeys, Hooks: hooks, Timer: n.timer, TLS: o.TLS, Dial: o.Dial,
+		Self: o.Self, Keys: o.PeerKeys, Hooks: hooks, Timer: n.timer, Counters: n.counters, TLS: o.TLS, Dial: o.Dial,
 	}
 	n.server = &leverpeer.Server{
 		Self: o.Self, Keys: o.PeerKeys, Hooks: hooks, Timer: n.timer,
@@ -183,3 +183,7 @@
 	go w.run(ctx)
 	go n.crashes.run(ctx)
 }
+
+// PeerConnections returns the number of connections that this VM has opened to
+// others.
+func (n *Node) PeerConnections() int { return n.peers.Connections() }
--- a/internal/leverpeer/client.go
+++ b/internal/leverpeer/client.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
+	"arbutuslever.dev/lever/internal/leverevent"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/levermsg"
 	"arbutuslever.dev/lever/internal/levertimer"
@@ -22,6 +25,8 @@
 	// and deadTime before it is given up.
 	quietTime = 200 * time.Millisecond
 	deadTime  = 800 * time.Millisecond
+	// unusedTime is after how long without calls a connection is closed.
+	unusedTime = 30 * time.Second
 )
 
 // Client opens one connection to each peer on demand and keeps it. Its
@@ -32,6 +37,8 @@
 	Keys  *Keys
 	Hooks Hooks
 	Timer *levertimer.Service
+	// Counters counts the bytes that are sent.
+	Counters *leverevent.Counters
 	// TLS is used for connections if it is not nil.
 	TLS *tls.Config
 	// Dial replaces the TCP dialer in tests.
@@ -40,6 +47,8 @@
 	mu     sync.Mutex
 	conns  map[leverid.VMID]*clientConn
 	closed bool
+	// watching says that runWatch is running; it ends with the last connection.
+	watching bool
 }
 
 // Call is one request in flight and its replies.
@@ -118,6 +127,10 @@
 		conn = &clientConn{client: c, vm: vm, ready: make(chan struct{})}
 		c.conns[vm.ID] = conn
 		go conn.run()
+		if !c.watching {
+			c.watching = true
+			go c.runWatch()
+		}
 	}
 	c.mu.Unlock()
 	select {
@@ -148,7 +161,10 @@
 	mu     sync.Mutex
 	next   CallID
 	calls  map[CallID]*Call
+	used   time.Time
 	closed bool
+	// idle says that this end closed the connection for want of use.
+	idle bool
 }
 
 func (c *clientConn) run() {
@@ -164,7 +180,6 @@
 		return
 	}
 	go c.link.runWriter()
-	go c.runWatch()
 	c.end(c.readAll())
 }
 
@@ -175,7 +190,7 @@
 	if err != nil {
 		return nil, errors.Annotate(ErrClosed, err.Error())
 	}
-	l := newLink(conn, c.client.Hooks, c.client.Timer)
+	l := newLink(conn, c.client.Hooks, c.client.Timer, c.client.Counters)
 	if err := c.shake(l); err != nil {
 		l.close()
 		return nil, errors.Annotate(ErrClosed, err.Error())
@@ -274,7 +289,9 @@
 		close(call.replies)
 	}
 	c.client.forget(c)
-	c.client.Hooks.Down(c.vm.ID, err)
+	if !c.idle {
+		c.client.Hooks.Down(c.vm.ID, err)
+	}
 }
 
 // replyBuffer is how many replies of one call wait for a slow reader before
@@ -288,6 +305,7 @@
 		return nil, ErrClosed
 	}
 	c.next++
+	c.used = c.client.Timer.Now()
 	call := &Call{conn: c, id: c.next, replies: make(chan *Frame, replyBuffer)}
 	if c.calls == nil {
 		c.calls = make(map[CallID]*Call)
@@ -309,43 +327,82 @@
 	return ok
 }
 
-func (c *clientConn) waiting() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.calls)
-}
-
-// runWatch gives the connection up when the peer is silent while calls wait.
-// A peer that is stopped keeps its connections open and says nothing.
-func (c *clientConn) runWatch() {
-	t := c.client.Timer.Every(watchPeriod)
+// runWatch looks at all connections now and then, as long as there are any.
+func (c *Client) runWatch() {
+	t := c.Timer.Every(watchPeriod)
 	defer t.Stop()
-	for {
-		select {
-		case <-t.C:
-		case <-c.link.done:
+	for range t.C {
+		conns := c.open()
+		if conns == nil {
 			return
 		}
-		c.check()
+		for _, conn := range conns {
+			conn.check()
+		}
 	}
 }
 
+// open returns the connections; without any it ends the watching.
+func (c *Client) open() []*clientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.conns) == 0 {
+		c.watching = false
+		return nil
+	}
+	return slices.Collect(maps.Values(c.conns))
+}
+
+// check gives the connection up when the peer is silent while calls wait: a
+// peer that is stopped keeps its connections open and says nothing. It closes a
+// connection that is not used.
 func (c *clientConn) check() {
+	select {
+	case <-c.ready:
+	default:
+		return
+	}
+	if c.link == nil {
+		return
+	}
+	now := c.client.Timer.Now()
+	if c.closeUnused(now) {
+		c.link.close()
+		return
+	}
 	if c.waiting() == 0 {
-		c.link.heard.Store(c.client.Timer.Now().UnixNano())
+		c.link.heard.Store(now.UnixNano())
 		return
 	}
-	quiet := time.Duration(c.client.Timer.Now().UnixNano() - c.link.heard.Load())
+	quiet := time.Duration(now.UnixNano() - c.link.heard.Load())
 	if quiet > deadTime {
 		c.link.close()
 		return
 	}
 	if quiet > quietTime {
-		// A failed send has closed the link, which ends the watch.
+		// A failed send has closed the link.
 		_ = c.link.send(&Frame{Op: opPing})
 	}
 }
 
+// closeUnused marks the connection as closed if it has had no calls lately.
+func (c *clientConn) closeUnused(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.calls) > 0 || c.used.IsZero() || now.Sub(c.used) < unusedTime {
+		return false
+	}
+	c.closed = true
+	c.idle = true
+	return true
+}
+
+func (c *clientConn) waiting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.calls)
+}
+
 // Next returns the body of the next reply and whether it is the last.
 func (l *Call) Next(ctx context.Context) (body []byte, last bool, err error) {
 	select {
--- a/internal/leverpeer/link.go
+++ b/internal/leverpeer/link.go
@@ -46,9 +46,11 @@
 const ErrClosed = errors.ConstError("peer connection closed")
 
 const (
-	outboxLength = 1024
+	// outboxLength is in frames. A VM has a link to and from each of its peers,
+	// so the buffers are small; a large frame passes around them.
+	outboxLength = 64
+	bufferSize   = 4 << 10
 	writeTimeout = 2 * time.Second
-	bufferSize   = 64 << 10
 )
 
 // link is what both ends of a connection share: an outbox that a loop writes.
@@ -63,10 +65,11 @@
 	done   chan struct{}
 	once   sync.Once
 	heard  atomic.Int64 // Unix nanoseconds of the last frame
-	sent   atomic.Int64 // bytes
+
+	counters *leverevent.Counters
 }
 
-func newLink(c net.Conn, h Hooks, t *levertimer.Service) *link {
+func newLink(c net.Conn, h Hooks, t *levertimer.Service, n *leverevent.Counters) *link {
 	return &link{
 		conn:   c,
 		r:      bufio.NewReaderSize(c, bufferSize),
@@ -74,6 +77,8 @@
 		timer:  t,
 		outbox: make(chan []byte, outboxLength),
 		done:   make(chan struct{}),
+
+		counters: n,
 	}
 }
 
@@ -121,7 +126,7 @@
 	}
 	for {
 		n, err := w.Write(b)
-		l.sent.Add(int64(n))
+		l.counters.Add("peer-bytes-sent", int64(n))
 		if err != nil {
 			return err
 		}
--- a/internal/leverpeer/server.go
+++ b/internal/leverpeer/server.go
@@ -91,7 +91,7 @@
 
 // Accept serves one connection.
 func (s *Server) Accept(c net.Conn) {
-	conn := &serverConn{server: s, link: newLink(c, s.Hooks, s.Timer), requests: make(map[CallID]*Request)}
+	conn := &serverConn{server: s, link: newLink(c, s.Hooks, s.Timer, s.Counters), requests: make(map[CallID]*Request)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conns == nil {
