--- a/internal/leverkernel/life.go
+++ b/internal/leverkernel/life.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 	bootTimeout = 2 * time.Second
 	bootPause   = 300 * time.Millisecond
 	bootNoise   = 0.3
+	// askedSeeds is the number of seeds that one round asks.
+	askedSeeds = 7
 	// loneTime is how long a VM may hear neither the store nor a peer before
 	// it says that it is not ready.
 	loneTime = 10 * time.Second
@@ -64,12 +67,13 @@
 	return err == nil || fromPeers
 }
 
-// askSeeds asks the seeds and the VMs of the list. It reports whether one of
+// askSeeds asks some of the seeds. It reports whether one of
 // them had a list of VMs, which no VM lacks that is ready.
 func (b *boot) askSeeds(ctx context.Context) bool {
 	n := b.node
 	var wg sync.WaitGroup
-	for _, vm := range n.opts.Seeds {
+	for _, i := range rand.Perm(len(n.opts.Seeds))[:min(len(n.opts.Seeds), askedSeeds)] {
+		vm := n.opts.Seeds[i]
 		if vm.ID == n.opts.Self.ID {
 			continue
 		}
--- /dev/null
+++ b/internal/leverpeer/export_test.go
@@ -0,0 +1,4 @@
+package leverpeer
+
+// EncodeForTest writes a message.
+var EncodeForTest = encode
--- /dev/null
+++ b/internal/leverpeer/peer_test.go
@@ -0,0 +1,214 @@
+package leverpeer_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutuslever.dev/lever/internal/leverevent"
+	"arbutuslever.dev/lever/internal/leverid"
+	"arbutuslever.dev/lever/internal/levermsg"
+	"arbutuslever.dev/lever/internal/leverpeer"
+	"arbutuslever.dev/lever/internal/levertest"
+	"arbutuslever.dev/lever/internal/levertimer"
+
+	"github.com/matryer/is"
+)
+
+type noHooks struct{ down chan leverid.VMID }
+
+func (noHooks) Say() leverpeer.Remark               { return leverpeer.Remark{} }
+func (noHooks) Heard(levermsg.VM, leverpeer.Remark) {}
+func (h noHooks) Down(id leverid.VMID, _ error) {
+	select {
+	case h.down <- id:
+	default:
+	}
+}
+
+type handlerFunc func(r *leverpeer.Request) error
+
+func (f handlerFunc) Serve(r *leverpeer.Request) error { return f(r) }
+
+// pair joins a client and a server over a fake network.
+func pair(h handlerFunc, clientKey string) (*leverpeer.Client, *leverpeer.Server, *levertest.Net, noHooks) {
+	n := &levertest.Net{}
+	hooks := noHooks{down: make(chan leverid.VMID, 8)}
+	timer := &levertimer.Service{}
+	s := &leverpeer.Server{
+		Self: levermsg.VM{ID: "b"}, Keys: leverpeer.NewKeys("new-key", "old-key"), Hooks: hooks, Timer: timer,
+		Handler: h, Counters: &leverevent.Counters{},
+	}
+	n.Listen("b", s.Accept)
+	c := &leverpeer.Client{
+		Self: levermsg.VM{ID: "a"}, Keys: leverpeer.NewKeys(clientKey), Hooks: hooks, Timer: timer,
+		Counters: &leverevent.Counters{},
+		Dial:     func(ctx context.Context, to string) (net.Conn, error) { return n.Dial(ctx, "a", to) },
+	}
+	return c, s, n, hooks
+}
+
+var peerB = levermsg.VM{ID: "b", Peer: "b"}
+
+func echo(r *leverpeer.Request) error {
+	var text string
+	if err := r.Decode(&text); err != nil {
+		return err
+	}
+	return r.Reply(text, true)
+}
+
+func TestAskAndKeys(t *testing.T) {
+	cases := map[string]struct {
+		key string
+		ok  bool
+	}{
+		"the new key":   {"new-key", true},
+		"the old key":   {"old-key", true},
+		"another key":   {"other-key", false},
+		"an empty key":  {"", false},
+		"a longer key":  {"new-key-and-more", false},
+		"a shorter key": {"new", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				client, server, _, _ := pair(echo, c.key)
+				var answer string
+				err := client.Ask(t.Context(), peerB, leverpeer.KindStatus, "hello", &answer)
+				is.Equal(err == nil, c.ok)
+				is.Equal(answer == "hello", c.ok)
+				client.Close()
+				server.Close()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
+// TestSilentPeerIsGivenUp holds the peer while a call waits.
+func TestSilentPeerIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		client, server, n, hooks := pair(func(r *leverpeer.Request) error { <-r.Ctx.Done(); return nil }, "new-key")
+		call, err := client.Call(t.Context(), peerB, leverpeer.KindStatus, nil)
+		is.NoErr(err)
+		time.Sleep(time.Minute) // pings keep a slow call alive
+		is.Equal(len(hooks.down), 0)
+		n.Hold("b")
+		begin := time.Now()
+		_, _, err = call.Next(t.Context())
+		is.True(errors.Is(err, leverpeer.ErrClosed))
+		is.True(time.Since(begin) < 2*time.Second)
+		is.Equal(<-hooks.down, leverid.VMID("b"))
+		n.Release("b")
+		client.Close()
+		server.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestPanicOfHandlerIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		client, server, _, _ := pair(func(*leverpeer.Request) error { panic("fault") }, "new-key")
+		is.True(client.Ask(t.Context(), peerB, leverpeer.KindStatus, nil, nil) != nil)
+		is.Equal(server.Counters.Get("panics"), int64(1))
+		client.Close()
+		server.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestUnusedConnectionIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		client, server, _, hooks := pair(echo, "new-key")
+		is.NoErr(client.Ask(t.Context(), peerB, leverpeer.KindStatus, "x", nil))
+		is.Equal(client.Connections(), 1)
+		time.Sleep(time.Minute)
+		is.Equal(client.Connections(), 0)
+		is.Equal(len(hooks.down), 0) // no sign against the peer
+		server.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestHostileBytes sends what is no frame: the connection ends, nothing else.
+func TestHostileBytes(t *testing.T) {
+	cases := map[string][]byte{
+		"nothing":          {},
+		"truncated length": {0, 0},
+		"zero length":      {0, 0, 0, 0},
+		"huge length":      {0xff, 0xff, 0xff, 0xff},
+		"truncated body":   {0, 0, 0, 9, 1},
+		"not msgpack":      {0, 0, 0, 2, 0xc1, 0xc1},
+		"wrong operation":  {0, 0, 0, 8, 0x97, 0x7f, 0, 0, 0, 0, 0xc2, 0xc0},
+		"http":             []byte("GET / HTTP/1.1\r\n\r\n"),
+	}
+	for name, raw := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				_, server, n, _ := pair(echo, "new-key")
+				c, err := n.Dial(t.Context(), "x", "b")
+				is.NoErr(err)
+				_, err = c.Write(raw)
+				is.NoErr(err)
+				time.Sleep(time.Minute)
+				_, err = c.Read(make([]byte, 1))
+				is.True(err != nil) // closed
+				is.Equal(server.Busy(), 0)
+				server.Close()
+			})
+		})
+	}
+}
+
+func FuzzReadFrame(f *testing.F) {
+	whole, err := leverpeer.AppendFrame(nil, &leverpeer.Frame{Op: 3, Kind: leverpeer.KindBatch, Call: 1, Body: []byte{0x80}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole)
+	f.Add([]byte{0, 0, 0, 2, 0xc1, 0xc1})
+	f.Add([]byte{0, 0, 0, 6, 0x97, 0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		frame, err := leverpeer.ReadFrame(bufio.NewReader(bytes.NewReader(raw)), leverpeer.MaxFrame)
+		if err != nil {
+			return
+		}
+		var b levermsg.Batch
+		_ = leverpeer.Decode(frame.Body, &b)
+		again, err := leverpeer.AppendFrame(nil, frame)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := leverpeer.ReadFrame(bufio.NewReader(bytes.NewReader(again)), leverpeer.MaxFrame); err != nil {
+			t.Fatalf("a frame that was read can't be read again: %v", err)
+		}
+	})
+}
+
+func BenchmarkFrame(b *testing.B) {
+	for name, items := range map[string]int{"10": 10, "100": 100, "1200": 1200} {
+		b.Run(name, func(b *testing.B) {
+			batch := levermsg.Batch{Items: make([]levermsg.Item, items)}
+			for i := range batch.Items {
+				batch.Items[i] = levermsg.Item{Attempt: leverid.AttemptID(1 << 40), Upstream: "portal-01-s0-r0"}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := leverpeer.EncodeForTest(&batch); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/levertest/system.go
+++ b/internal/levertest/system.go
@@ -145,6 +145,9 @@
 	return x
 }
 
+// maxSeeds is the number of VMs that another is told of in its settings.
+const maxSeeds = 7
+
 // AddVM starts one more node and puts it on the platform's list.
 func (s *System) AddVM() *leverkernel.Node {
 	s.mu.Lock()
@@ -157,7 +160,7 @@
 	vm.Peer = string(vm.ID)
 	s.domains[vm.Peer] = vm.Domain
 	var seeds []levermsg.VM
-	for _, id := range s.order {
+	for _, id := range s.order[:min(len(s.order), maxSeeds)] {
 		seeds = append(seeds, s.nodes[id].Self())
 	}
 	s.mu.Unlock()
