internal/leverroute: choose the best of several avoided replicas

Found by TestChoose: the noise that breaks ties was applied after the cost of an avoided upstream, so among avoided replicas the choice was random. Before: the case 'both look bad' chose the far one; after: the near one. Besides: tests of spread, configuration, membership, limits and retries.

--- a/internal/leverroute/replica.go
+++ b/internal/leverroute/replica.go
@@ -101,10 +101,11 @@
 	if now.Before(v.coldUntil) {
 		ms *= 1 + 4*float64(v.coldUntil.Sub(now))/float64(coldTime)
 	}
+	ms *= 1 + noise*p.rng.Float64()
 	if now.Before(v.avoidUntil) {
 		ms += avoidCost
 	}
-	return ms * (1 + noise*p.rng.Float64())
+	return ms
 }
 
 func (p *Replicas) view(c Candidate) *upstreamView {
