internal/leversession: golden sessions of whole processes

Found by the outage session: a VM that started while the store was down was not ready after 30 s. Cause: it took peers' objects as complete only if the platform's list of VMs was among them; that list had not arrived anywhere before the outage. A seed that says it is ready now counts.

--- /dev/null
+++ b/cmd/leverplot/main.go
@@ -0,0 +1,47 @@
+// Command leverplot fits and draws the slopes that scripts/slopes.sh measures.
+package main
+
+import (
+	"os"
+
+	"arbutuslever.dev/lever/internal/leverfit"
+
+	"github.com/jessevdk/go-flags"
+)
+
+type options struct {
+	Table string `long:"table" required:"true" description:"Markdown file to write"`
+	SVG   string `long:"svg" required:"true" description:"picture to write"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(1)
+	}
+	if err := o.run(); err != nil {
+		os.Stderr.WriteString("leverplot: " + err.Error() + "\n")
+		os.Exit(1)
+	}
+}
+
+func (o *options) run() error {
+	all, err := leverfit.Read(os.Stdin)
+	if err != nil {
+		return err
+	}
+	table, err := os.Create(o.Table)
+	if err != nil {
+		return err
+	}
+	defer table.Close()
+	if err := leverfit.Table(table, all); err != nil {
+		return err
+	}
+	svg, err := os.Create(o.SVG)
+	if err != nil {
+		return err
+	}
+	defer svg.Close()
+	return leverfit.Draw(svg, all)
+}
--- a/cmd/leverstandin/plan.go
+++ b/cmd/leverstandin/plan.go
@@ -20,6 +20,7 @@
 	Dir        string `long:"dir" required:"true" description:"directory to write to"`
 	Deployment string `long:"deployment" default:"tw-north" choice:"tw-north" choice:"maroc-nord" description:"whose fleet"`
 	Scale      int    `long:"scale" default:"2" description:"services of each app at most"`
+	App        string `long:"app" description:"only the app with this name"`
 	VMs        int    `long:"vms" default:"6" description:"entry VMs"`
 	Port       int    `long:"port" default:"21000" description:"first port on the loopback address"`
 	Seed       uint64 `long:"seed" default:"1" description:"seed of the upstreams' times"`
@@ -51,6 +52,9 @@
 	fleet := fleetSettings{Seed: c.Seed, RunLog: filepath.Join(c.Dir, "runs.jsonl")}
 	fleet.Behaviour = levermodel.Behaviour{Sigma: 0.4, Oldest: firstVersion, Newest: firstVersion}
 	for _, a := range d.Apps {
+		if c.App != "" && a.Name != c.App {
+			continue
+		}
 		for n := 1; n <= a.Services; n++ {
 			if err := c.service(d, a, n, &platform, &fleet); err != nil {
 				return err
--- /dev/null
+++ b/internal/leverfit/draw.go
@@ -0,0 +1,78 @@
+package leverfit
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+const (
+	tileWidth   = 6 * vg.Centimeter
+	tileHeight  = 5 * vg.Centimeter
+	tileColumns = 4
+)
+
+// Table writes the series and their lines as Markdown.
+func Table(w io.Writer, all []Series) error {
+	var b strings.Builder
+	b.WriteString("| measured | unit | against | points | at zero | slope | fit R2 |\n| --- | --- | --- | --- | --- | --- | --- |\n")
+	for i := range all {
+		s := &all[i]
+		if len(s.Points) < 2 {
+			continue
+		}
+		l := s.Fit()
+		var points []string
+		for _, p := range s.Points {
+			points = append(points, fmt.Sprintf("%g: %.4g", p.Size, p.Value))
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %.4g | %.4g | %.3f |\n",
+			s.Name, s.Unit, s.By, strings.Join(points, ", "), l.Base, l.Slope, l.R2)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// Draw writes one SVG picture with a tile for each series.
+func Draw(w io.Writer, all []Series) error {
+	rows := (len(all) + tileColumns - 1) / tileColumns
+	canvas := vgsvg.New(tileColumns*tileWidth, vg.Length(max(rows, 1))*tileHeight)
+	tiles := draw.Tiles{Rows: max(rows, 1), Cols: tileColumns, PadX: vg.Millimeter, PadY: vg.Millimeter}
+	for i := range all {
+		p, err := tile(&all[i])
+		if err != nil {
+			return err
+		}
+		p.Draw(tiles.At(draw.New(canvas), i%tileColumns, i/tileColumns))
+	}
+	_, err := canvas.WriteTo(w)
+	return err
+}
+
+func tile(s *Series) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = s.Name
+	p.X.Label.Text = s.By
+	p.Y.Label.Text = s.Unit
+	p.Y.Min = 0
+	points := make(plotter.XYs, len(s.Points))
+	for i, pt := range s.Points {
+		points[i] = plotter.XY{X: pt.Size, Y: pt.Value}
+	}
+	dots, err := plotter.NewScatter(points)
+	if err != nil {
+		return nil, err
+	}
+	p.Add(dots)
+	if len(s.Points) > 1 {
+		l := s.Fit()
+		p.Add(plotter.NewFunction(func(x float64) float64 { return l.Base + l.Slope*x }))
+	}
+	return p, nil
+}
--- a/internal/leverkernel/config_test.go
+++ b/internal/leverkernel/config_test.go
@@ -210,6 +210,21 @@
 	})
 }
 
+// TestStartDuringOutageWithoutList starts a VM while the store is down and no
+// VM has ever seen the platform's list.
+func TestStartDuringOutageWithoutList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := levertest.NewSystem(levertest.Options{Deployment: levermodel.TwNorth().Scaled(1), VMs: 3, Seed: 1, NoList: true})
+		defer s.Close()
+		s.Settle()
+		s.Platform.SetFaults(leverplatform.Faults{Down: true})
+		n := s.AddVM()
+		time.Sleep(inForceBound)
+		is.True(n.Ready())
+	})
+}
+
 // TestOldReadsNeverRevert lets the store answer with old values after a change.
 func TestOldReadsNeverRevert(t *testing.T) {
 	inSystem(t, func(is *is.I, s *levertest.System) {
--- a/internal/leverkernel/life.go
+++ b/internal/leverkernel/life.go
@@ -4,12 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverevent"
 	"arbutuslever.dev/lever/internal/levermsg"
 	"arbutuslever.dev/lever/internal/leverpeer"
-	"arbutuslever.dev/lever/internal/leverspread"
 	"arbutuslever.dev/lever/internal/levertimer"
 
 	"github.com/juju/errors"
@@ -67,34 +67,43 @@
 	return err == nil || fromPeers
 }
 
-// askSeeds asks some of the seeds. It reports whether one of
-// them had a list of VMs, which no VM lacks that is ready.
+// askSeeds asks some of the seeds. It reports whether one of them is ready, and
+// so has all that there is.
 func (b *boot) askSeeds(ctx context.Context) bool {
 	n := b.node
 	var wg sync.WaitGroup
+	var found atomic.Bool
 	for _, i := range rand.Perm(len(n.opts.Seeds))[:min(len(n.opts.Seeds), askedSeeds)] {
 		vm := n.opts.Seeds[i]
 		if vm.ID == n.opts.Self.ID {
 			continue
 		}
-		a := &seedAsk{node: n, vm: vm, wg: &wg}
+		a := &seedAsk{node: n, vm: vm, wg: &wg, found: &found}
 		wg.Add(1)
 		go a.run(ctx)
 	}
 	wg.Wait()
-	return n.board.Get(leverspread.ListKey).Revision > 0
+	return found.Load()
 }
 
-// seedAsk compares the board with one seed.
+// seedAsk compares the board with one seed and asks whether it is ready.
 type seedAsk struct {
-	node *Node
-	vm   levermsg.VM
-	wg   *sync.WaitGroup
+	node  *Node
+	vm    levermsg.VM
+	wg    *sync.WaitGroup
+	found *atomic.Bool
 }
 
 func (a *seedAsk) run(ctx context.Context) {
 	defer a.wg.Done()
-	a.node.spreader.Beat(ctx, a.vm)
+	if !a.node.spreader.Beat(ctx, a.vm) {
+		return
+	}
+	var r statusReply
+	err := a.node.peers.Ask(ctx, a.vm, leverpeer.KindStatus, &statusMessage{}, &r)
+	if err == nil && len(r.States) > 0 && r.States[0].Ready {
+		a.found.Store(true)
+	}
 }
 
 // Ready reports whether the VM should get requests: it has a configuration, is
--- /dev/null
+++ b/internal/leversession/session_test.go
@@ -0,0 +1,240 @@
+package leversession_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// binaries is the directory of the programs under test.
+var binaries string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "lever-session")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir)
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir+"/", "../../cmd/arbutuslever", "../../cmd/arbutusctl", "../../cmd/leverstandin")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	return m.Run()
+}
+
+// TestSessions runs each session of testdata against processes of its own.
+func TestSessions(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata",
+		Setup: setup,
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"vm":        vm,
+			"faults":    faults,
+			"confirmed": confirmed,
+		},
+		UpdateScripts: os.Getenv("UPDATE") != "",
+	})
+}
+
+// system is the processes of one session.
+type system struct {
+	dir   string
+	port  int
+	procs map[string]*exec.Cmd
+}
+
+type systemKey struct{}
+
+const vms = 3
+
+func setup(env *testscript.Env) error {
+	s := &system{dir: filepath.Join(env.WorkDir, "system"), procs: make(map[string]*exec.Cmd)}
+	if err := os.Mkdir(s.dir, 0o755); err != nil {
+		return err
+	}
+	port, err := freePorts()
+	if err != nil {
+		return err
+	}
+	s.port = port
+	env.Defer(s.end)
+	env.Values[systemKey{}] = s
+	env.Setenv("PATH", binaries+string(os.PathListSeparator)+env.Getenv("PATH"))
+	env.Setenv("ARBUTUS_KEY", "operator-key-for-trials-only")
+	env.Setenv("ARBUTUS_VM", s.address(1)+","+s.address(2)+","+s.address(3))
+	for i := 1; i <= vms; i++ {
+		env.Setenv(fmt.Sprint("VM", i), s.address(i))
+	}
+	env.Setenv("USER", "ops")
+	return s.begin()
+}
+
+// freePorts returns the first of a run of ports that nobody listens on.
+func freePorts() (int, error) {
+	const span = 300
+	for first := 26000; first < 32000; first += span {
+		free := true
+		for _, offset := range []int{0, 1, 2, 3, 4, 5, 6, 200, 201, 202, 203} {
+			ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+offset))
+			if err != nil {
+				free = false
+				break
+			}
+			_ = ln.Close()
+		}
+		if free && claim(first) {
+			return first, nil
+		}
+	}
+	return 0, fmt.Errorf("no free ports")
+}
+
+// claim keeps two sessions of this run from taking the same ports.
+func claim(first int) bool {
+	f, err := os.OpenFile(filepath.Join(binaries, fmt.Sprint("port-", first)), os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return false
+	}
+	return f.Close() == nil
+}
+
+func (s *system) address(vm int) string { return fmt.Sprintf("127.0.0.1:%d", s.port+2*vm-1) }
+
+func (s *system) begin() error {
+	plan := exec.Command(filepath.Join(binaries, "leverstandin"), "plan", "--dir", s.dir, "--app", "portal",
+		"--scale", "1", "--vms", fmt.Sprint(vms), "--port", fmt.Sprint(s.port))
+	out, err := plan.Output()
+	if err != nil {
+		return err
+	}
+	if err := s.start("platform", "leverstandin", "platform", "--settings", "platform.json"); err != nil {
+		return err
+	}
+	for _, id := range strings.Fields(string(out)) {
+		if err := s.start(id, "leverstandin", "upstream", "--settings", "fleet.json", "--id", id); err != nil {
+			return err
+		}
+	}
+	for i := 1; i <= vms; i++ {
+		if err := s.startVM(i); err != nil {
+			return err
+		}
+	}
+	for i := 1; i <= vms; i++ {
+		if err := s.awaitReady(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *system) start(name, program string, args ...string) error {
+	c := exec.Command(filepath.Join(binaries, program), args...)
+	c.Dir = s.dir
+	log, err := os.Create(filepath.Join(s.dir, name+".log"))
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	c.Stderr = log
+	s.procs[name] = c
+	return c.Start()
+}
+
+func (s *system) startVM(i int) error {
+	name := fmt.Sprint("vm-", i)
+	return s.start(name, "arbutuslever", "--settings", name+".json")
+}
+
+func (s *system) awaitReady(i int) error {
+	for range 300 {
+		r, err := http.Get("http://" + s.address(i) + "/v1/ready")
+		if err == nil {
+			_ = r.Body.Close()
+			if r.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return fmt.Errorf("vm-%d is not ready", i)
+}
+
+// end kills what is left of the session's own processes.
+func (s *system) end() {
+	for _, c := range s.procs {
+		_ = c.Process.Kill()
+		_ = c.Wait()
+	}
+}
+
+// vm ACTION N kills, stops, starts, freezes or wakes a VM.
+func vm(ts *testscript.TestScript, _ bool, args []string) {
+	s := ts.Value(systemKey{}).(*system)
+	var i int
+	if len(args) != 2 {
+		ts.Fatalf("usage: vm kill|stop|start|freeze|wake N")
+	}
+	if _, err := fmt.Sscan(args[1], &i); err != nil {
+		ts.Fatalf("vm: %v", err)
+	}
+	c := s.procs[fmt.Sprint("vm-", i)]
+	switch args[0] {
+	case "kill":
+		ts.Check(c.Process.Kill())
+		_ = c.Wait()
+	case "stop":
+		ts.Check(c.Process.Signal(syscall.SIGTERM))
+		ts.Check(c.Wait())
+	case "freeze":
+		ts.Check(c.Process.Signal(syscall.SIGSTOP))
+	case "wake":
+		ts.Check(c.Process.Signal(syscall.SIGCONT))
+	case "start":
+		ts.Check(s.startVM(i))
+		ts.Check(s.awaitReady(i))
+	default:
+		ts.Fatalf("vm %s", args[0])
+	}
+}
+
+// faults JSON sets what the platform does wrong.
+func faults(ts *testscript.TestScript, _ bool, args []string) {
+	s := ts.Value(systemKey{}).(*system)
+	url := fmt.Sprintf("http://127.0.0.1:%d/v1/stand-in/faults", s.port)
+	r, err := http.NewRequest(http.MethodPut, url, bytes.NewReader([]byte(strings.Join(args, " "))))
+	ts.Check(err)
+	w, err := http.DefaultClient.Do(r)
+	ts.Check(err)
+	_, _ = io.Copy(io.Discard, w.Body)
+	ts.Check(w.Body.Close())
+	if w.StatusCode != http.StatusOK {
+		ts.Fatalf("faults: %s", w.Status)
+	}
+}
+
+// confirmed waits until the newest version is in force on all VMs.
+func confirmed(ts *testscript.TestScript, _ bool, _ []string) {
+	for range 200 {
+		if ts.Exec("arbutusctl", "config", "status") == nil {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	ts.Fatalf("the newest version is not in force everywhere")
+}
--- a/internal/levertest/system.go
+++ b/internal/levertest/system.go
@@ -39,6 +39,7 @@
 	retired []leverapi.Event
 	next    int
 	seed    uint64
+	noList  bool
 }
 
 // life ends with a node's process.
@@ -61,6 +62,8 @@
 	Behaviour levermodel.Behaviour
 	// Backlog is the number of requests that an upstream lets wait.
 	Backlog int
+	// NoList keeps the platform's list of VMs empty.
+	NoList bool
 }
 
 // NewSystem builds a system and starts its nodes.
@@ -68,7 +71,7 @@
 	s := &System{
 		Deployment: o.Deployment, Platform: &leverplatform.Memory{}, Net: &Net{}, History: &leverhistory.History{},
 		nodes: make(map[leverid.VMID]*leverkernel.Node), domains: make(map[string]leverid.Domain), seed: o.Seed,
-		lives: make(map[leverid.VMID]*life),
+		lives: make(map[leverid.VMID]*life), noList: o.NoList,
 	}
 	s.Net.Delay = s.delay
 	s.Fleet = &Fleet{Net: s.Net}
@@ -196,6 +199,9 @@
 func (s *System) UpdateList() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.noList {
+		return
+	}
 	var list []levermsg.VM
 	for _, id := range s.order {
 		list = append(list, s.nodes[id].Self())
