internal/leverquery: keep the merged records of a message whose first shard is settled

Cause: a home merges the records of a message and sends them with its first whole result; if a hedge had answered that shard before, the result was dropped, and with it the records of the message's other shards. Now a fan-out takes in the records of every whole result, settled or not; all are of one version. TestMergedRecordsAreKept failed before (1 record of 2) and passes after.

Besides: the list of live VMs and the relay tree are worked out only when they change.

--- a/internal/leverkernel/dispatch.go
+++ b/internal/leverkernel/dispatch.go
@@ -120,17 +120,18 @@
 }
 
 // deliver hands results to the sink. The merged records go with the first
-// whole result.
+// whole result that is handed on.
 func (r *remote) deliver(res *Results) {
 	for i := range res.Results {
 		one := res.Results[i]
-		if one.Outcome == levermsg.OK && res.Records != nil {
+		if !r.settle(one.Attempt) {
+			continue
+		}
+		if one.Outcome == levermsg.OK {
 			one.Records = res.Records
 			res.Records = nil
 		}
-		if r.settle(one.Attempt) {
-			r.sink(one)
-		}
+		r.sink(one)
 	}
 }
 
--- a/internal/levermember/view.go
+++ b/internal/levermember/view.go
@@ -44,7 +44,8 @@
 	evidence  map[leverid.VMID]*evidence
 	strangers map[leverid.VMID]stranger
 	cached    []levermsg.VM
-	cachedFor time.Time
+	// cachedTo is when the cached list is worked out anew without a change.
+	cachedTo time.Time
 }
 
 // NewView returns a view that always contains self while it is not leaving.
@@ -162,8 +163,11 @@
 		v.strangers = make(map[leverid.VMID]stranger)
 	}
 	vm.State = levermsg.Live
+	_, known := v.strangers[vm.ID]
 	v.strangers[vm.ID] = stranger{vm, now.Add(strangerLife)}
-	v.cached = nil
+	if !known {
+		v.cached = nil
+	}
 }
 
 func (v *View) listed(id leverid.VMID) bool {
@@ -183,19 +187,23 @@
 	return e
 }
 
-// cacheTime bounds how stale the cached list may be.
-const cacheTime = 20 * time.Millisecond
+// cacheTime bounds how late the lapse of a peer's word, or of a VM that is not
+// listed, may show.
+const cacheTime = 500 * time.Millisecond
 
 // Live returns the VMs that can be given work, in order of their ids. The
-// result is shared and must not be changed.
+// result is shared and must not be changed; the same slice is returned until
+// something changes.
 func (v *View) Live(now time.Time) []levermsg.VM {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.cached != nil && now.Sub(v.cachedFor) < cacheTime {
+	if v.cached != nil && now.Before(v.cachedTo) {
 		return v.cached
 	}
-	v.cached = v.compute(now)
-	v.cachedFor = now
+	v.cachedTo = now.Add(cacheTime)
+	if fresh := v.compute(now); v.cached == nil || !slices.Equal(fresh, v.cached) {
+		v.cached = fresh
+	}
 	return v.cached
 }
 
--- a/internal/leverquery/fanout.go
+++ b/internal/leverquery/fanout.go
@@ -207,6 +207,12 @@
 func (f *fanout) receive(ctx context.Context) {
 	var again []leverid.ShardID
 	for _, res := range f.mail.take() {
+		if res.Outcome == levermsg.OK {
+			// The records may be those of several shards of the message, so
+			// they count even if this one shard was answered before. All
+			// attempts of a fan-out ask for the same version.
+			f.records.Add(res.Records)
+		}
 		a := f.attempts[res.Attempt]
 		if a == nil || a.over {
 			f.engine.Counters.Add("late-results", 1)
--- a/internal/leverquery/settle.go
+++ b/internal/leverquery/settle.go
@@ -74,7 +74,6 @@
 func (f *fanout) accept(a *attempt, res levermsg.Result) {
 	s := &f.shards[a.shard]
 	f.engine.Crashes.Good(f.query.Fingerprint, a.shard)
-	f.records.Add(res.Records)
 	s.partial = res.Partial
 	s.done = true
 	f.unsettled--
--- a/internal/leverspread/spreader.go
+++ b/internal/leverspread/spreader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverevent"
@@ -37,7 +38,7 @@
 	Exchange(ctx context.Context, vm levermsg.VM, m *Message) (*Reply, error)
 }
 
-// Members lists the VMs.
+// Members lists the VMs. The same slice means the same VMs.
 type Members interface {
 	Live(now time.Time) []levermsg.VM
 }
@@ -62,6 +63,10 @@
 	Backstop func() time.Duration
 
 	state storeState
+
+	treeMu sync.Mutex
+	live   []levermsg.VM
+	cached Tree
 }
 
 const (
@@ -85,8 +90,20 @@
 	go v.run(ctx)
 }
 
+// tree returns the tree over the VMs that are live. It is worked out anew only
+// when they change.
 func (s *Spreader) tree() Tree {
-	return NewTree(s.Members.Live(s.Timer.Now()), s.Self)
+	live := s.Members.Live(s.Timer.Now())
+	s.treeMu.Lock()
+	defer s.treeMu.Unlock()
+	if len(live) == 0 {
+		return Tree{self: -1}
+	}
+	if len(live) != len(s.live) || &live[0] != &s.live[0] {
+		s.live = live
+		s.cached = NewTree(live, s.Self)
+	}
+	return s.cached
 }
 
 // Offer installs items that came from the store or a local update, and passes
