--- a/internal/leverquery/fanout.go
+++ b/internal/leverquery/fanout.go
@@ -38,6 +38,8 @@
 	started  time.Time
 	call     Call
 	over     bool
+	// withdrawn says that its home was told; its result is still to come.
+	withdrawn bool
 }
 
 // retry is a second attempt that waits for its time.
--- a/internal/leverquery/plan.go
+++ b/internal/leverquery/plan.go
@@ -179,7 +179,7 @@
 		}
 		a.over = true
 		f.sent = true
-		if a.call != nil {
+		if a.call != nil && !a.withdrawn {
 			open[a.call] = append(open[a.call], id)
 		}
 	}
--- a/internal/leverquery/settle.go
+++ b/internal/leverquery/settle.go
@@ -88,6 +88,7 @@
 	}
 	for id, a := range f.attempts {
 		if a.shard == winner.shard && !a.over && a.call != nil {
+			a.withdrawn = true
 			a.call.Withdraw([]leverid.AttemptID{id})
 		}
 	}
