internal/leverroute: keep a service's homes to a group of VMs

Cause: in a fleet of 2,100 VMs a query of 1,200 shards goes to 907 homes, 1.3 shards a message. The homes of a service are now home-group VMs (32), taken from each failure domain in turn; small fleets are as before.

--- a/internal/leverconfig/setting.go
+++ b/internal/leverconfig/setting.go
@@ -141,6 +141,8 @@
 	StopWaitMS    float64
 	StopLimitMS   float64
 	StoreRate     float64
+	ClaimRate     float64
+	HomeGroup     float64
 	DirectDivisor float64
 }
 
@@ -224,6 +226,12 @@
 	{Key: "store-rate", Unit: "calls/s", Default: "20", Min: 1, Max: 1000,
 		Doc:    "calls that one VM makes to the store at most",
 		number: func(s *System) *float64 { return &s.StoreRate }},
+	{Key: "claim-rate", Unit: "calls/s", Default: "200", Min: 1, Max: 100000,
+		Doc:    "calls that all VMs together make to the store for claims; each VM has an equal part",
+		number: func(s *System) *float64 { return &s.ClaimRate }},
+	{Key: "home-group", Unit: "VMs", Default: "32", Min: 1, Max: 10000,
+		Doc:    "VMs that are homes of one service's upstreams, in a fleet that has more",
+		number: func(s *System) *float64 { return &s.HomeGroup }},
 	{Key: "direct-divisor", Unit: "VMs", Default: "7", Min: 1, Max: 10000,
 		Doc:    "VMs that divide an upstream's slots under routing direct",
 		number: func(s *System) *float64 { return &s.DirectDivisor }},
--- a/internal/leverkernel/force.go
+++ b/internal/leverkernel/force.go
@@ -42,7 +42,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &inForce{stored: s, doc: doc, router: factory(self)}, nil
+	router := factory(leverroute.Options{Self: self, Group: int(doc.System.HomeGroup)})
+	return &inForce{stored: s, doc: doc, router: router}, nil
 }
 
 // ConfigVersion returns the version in force.
@@ -95,6 +96,7 @@
 		}
 	}
 	n.store.SetRate(next.doc.System.StoreRate)
+	n.claimStore.SetRate(n.claimRate())
 	n.home.Reconfigure()
 	n.events.Add(leverevent.ConfigInForce, fmt.Sprint(stored.Version), "")
 	l.Info("a version is in force", "version", stored.Version)
@@ -107,6 +109,7 @@
 		return
 	}
 	if n.members.SetList(vms) {
+		n.claimStore.SetRate(n.claimRate())
 		n.events.Add(leverevent.ListChanged, fmt.Sprint(len(vms)), "")
 	}
 }
@@ -165,8 +168,8 @@
 }
 
 // Home names the VM through which an upstream is called.
-func (c *catalog) Home(u leverid.UpstreamID, d leverid.Domain, vms []levermsg.VM) leverid.VMID {
-	return c.node.force.Load().router.Home(u, d, vms)
+func (c *catalog) Home(s leverid.ServiceID, u leverid.UpstreamID, d leverid.Domain, vms []levermsg.VM) leverid.VMID {
+	return c.node.force.Load().router.Home(s, u, d, vms)
 }
 
 // Submit brings a patch into the store and, if it is accepted, in force here at
--- a/internal/leverkernel/node.go
+++ b/internal/leverkernel/node.go
@@ -58,13 +58,15 @@
 	board     *leverspread.Board
 	spreader  *leverspread.Spreader
 	store     *leverstore.Limited
-	submitter *leverconfig.Submitter
-	ledger    *leverclaim.Ledger
-	home      *leverhome.Home
-	engine    *leverquery.Engine
-	peers     *leverpeer.Client
-	server    *leverpeer.Server
-	crashes   *crashes
+	// claimStore is the store at the rate that claims may take.
+	claimStore *leverstore.Limited
+	submitter  *leverconfig.Submitter
+	ledger     *leverclaim.Ledger
+	home       *leverhome.Home
+	engine     *leverquery.Engine
+	peers      *leverpeer.Client
+	server     *leverpeer.Server
+	crashes    *crashes
 
 	force    atomic.Pointer[inForce]
 	started  time.Time
@@ -94,6 +96,7 @@
 	n.directory = &leversnapshot.Directory{}
 	n.force.Store(firstForce(o.Self.ID))
 	n.store = leverstore.NewLimited(o.Store, n.force.Load().doc.System.StoreRate)
+	n.claimStore = leverstore.NewLimited(o.Store, n.claimRate())
 	n.crashes = newCrashes(n)
 	n.wirePeers()
 	n.wireSpread()
@@ -132,7 +135,7 @@
 		Timer: n.timer, Counters: n.counters, Client: n.opts.Upstream, Directory: catalog, Crashes: n.crashes,
 	}
 	n.ledger = &leverclaim.Ledger{
-		Store: n.store, Timer: n.timer, Counters: n.counters,
+		Store: n.claimStore, Timer: n.timer, Counters: n.counters,
 		Keep: seconds(n.force.Load().doc.System.ClaimKeepS), Timeout: claimTimeout,
 	}
 	n.engine = &leverquery.Engine{
@@ -144,6 +147,16 @@
 	}
 }
 
+// leastClaimRate lets a VM of any fleet settle a claim and read it back within
+// the time that a claim may take.
+const leastClaimRate = 2
+
+// claimRate is this VM's part of the rate at which the fleet may write claims.
+func (n *Node) claimRate() float64 {
+	vms := max(len(n.members.Live(n.timer.Now())), 1)
+	return max(n.force.Load().doc.System.ClaimRate/float64(vms), leastClaimRate)
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // Engine returns the part that runs queries.
--- a/internal/leverquery/engine_test.go
+++ b/internal/leverquery/engine_test.go
@@ -30,11 +30,13 @@
 func (around) Trial(leverid.Fingerprint) (levercrash.Level, leverid.UpstreamID) {
 	return levercrash.Clear, ""
 }
-func (around) Reset(levercrash.Reset) levercrash.Level                             { return levercrash.Clear }
-func (around) Pass(leverid.Fingerprint)                                            {}
-func (around) Good(leverid.Fingerprint, leverid.ShardID)                           {}
-func (around) Settle(context.Context)                                              {}
-func (around) Home(leverid.UpstreamID, leverid.Domain, []levermsg.VM) leverid.VMID { return "vm" }
+func (around) Reset(levercrash.Reset) levercrash.Level   { return levercrash.Clear }
+func (around) Pass(leverid.Fingerprint)                  {}
+func (around) Good(leverid.Fingerprint, leverid.ShardID) {}
+func (around) Settle(context.Context)                    {}
+func (around) Home(leverid.ServiceID, leverid.UpstreamID, leverid.Domain, []levermsg.VM) leverid.VMID {
+	return "vm"
+}
 
 // sent is one batch that was dispatched.
 type sent struct {
--- a/internal/leverquery/plan.go
+++ b/internal/leverquery/plan.go
@@ -65,7 +65,7 @@
 			f.kill(id)
 			continue
 		}
-		home := f.engine.Router.Home(c.Upstream, c.Domain, vms)
+		home := f.engine.Router.Home(f.req.Service, c.Upstream, c.Domain, vms)
 		b := batches[home]
 		if b == nil {
 			b = &levermsg.Batch{Query: f.query, From: f.engine.Self, Demand: f.service.demand(now)}
--- a/internal/leverroute/route_test.go
+++ b/internal/leverroute/route_test.go
@@ -23,19 +23,19 @@
 func TestHomes(t *testing.T) {
 	is := is.New(t)
 	all := vms(9)
-	var r leverroute.Homes
+	var r leverroute.Groups
 	moved := 0
 	per := make(map[leverid.VMID]int)
 	for i := range 900 {
 		u := leverid.UpstreamID(fmt.Sprint("u", i))
 		d := leverid.Domain(fmt.Sprint("d", i%3))
-		home := r.Home(u, d, all)
+		home := r.Home("s", u, d, all)
 		per[home]++
 		is.True(home == "vm-0" || home[3] > '0') // a VM of the list
 		for _, vm := range all {
 			is.True(vm.ID != home || vm.Domain == d) // near
 		}
-		if r.Home(u, d, all[:8]) != home {
+		if r.Home("s", u, d, all[:8]) != home {
 			moved++
 			is.Equal(home, leverid.VMID("vm-8")) // only the lost VM's upstreams move
 		}
@@ -44,8 +44,56 @@
 		is.True(n > 60 && n < 140) // even: 100 each
 	}
 	is.Equal(moved, per["vm-8"])
-	is.True(r.Home("u", "elsewhere", all) != "") // no VM in the domain: any
-	is.Equal(r.Home("u", "d0", nil), leverid.VMID(""))
+	is.True(r.Home("s", "u", "elsewhere", all) != "") // no VM in the domain: any
+	is.Equal(r.Home("s", "u", "d0", nil), leverid.VMID(""))
+}
+
+// TestGroups counts the homes that a query of 1,200 shards goes to in a fleet of
+// 2,100 VMs and 18 failure domains, and what a lost VM moves.
+func TestGroups(t *testing.T) {
+	is := is.New(t)
+	const domains, size = 18, 32
+	fleet := make([]levermsg.VM, 2100)
+	for i := range fleet {
+		fleet[i] = levermsg.VM{ID: leverid.VMID(fmt.Sprint("vm-", i)), Domain: leverid.Domain(fmt.Sprint("d", i%domains))}
+	}
+	upstream := func(i int) (leverid.UpstreamID, leverid.Domain) {
+		return leverid.UpstreamID(fmt.Sprint("u", i)), leverid.Domain(fmt.Sprint("d", i%domains))
+	}
+	homes := func(r leverroute.Router, vms []levermsg.VM) map[leverid.VMID]int {
+		out := make(map[leverid.VMID]int)
+		for i := range 1200 {
+			u, d := upstream(i)
+			out[r.Home("s", u, d, vms)]++
+		}
+		return out
+	}
+	plain, grouped := homes(&leverroute.Groups{}, fleet), homes(&leverroute.Groups{Size: size}, fleet)
+	t.Logf("a query of 1,200 shards goes to %d homes without groups, to %d with groups of %d", len(plain), len(grouped), size)
+	is.True(len(plain) > 800)
+	is.True(len(grouped) <= size && len(grouped) >= domains)
+	r, moved := &leverroute.Groups{Size: size}, 0
+	lost := fleet[:2099]
+	for i := range 1200 {
+		u, d := upstream(i)
+		if r.Home("s", u, d, fleet) != (&leverroute.Groups{Size: size}).Home("s", u, d, lost) {
+			moved++
+		}
+		if i == 200 {
+			break
+		}
+	}
+	is.True(moved <= 201/domains*2) // at most the part of one VM of a domain
+	near := 0
+	for i := range 1200 {
+		u, d := upstream(i)
+		for _, v := range fleet {
+			if v.ID == r.Home("s", u, d, fleet) && v.Domain == d {
+				near++
+			}
+		}
+	}
+	is.Equal(near, 1200) // each domain has homes of its own
 }
 
 func TestOwnerAgreesWithOrder(t *testing.T) {
--- a/internal/levertrial/slopes_test.go
+++ b/internal/levertrial/slopes_test.go
@@ -41,6 +41,7 @@
 	}
 	for _, n := range leafSizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			router := &leverroute.Groups{Size: 32}
 			p := leverroute.NewReplicas("d0", 1)
 			its := items(n)
 			now := time.Unix(1000, 0)
@@ -48,7 +49,7 @@
 			for b.Loop() {
 				for i := range its {
 					c, _ := p.Choose([]leverroute.Candidate{{Upstream: its[i].Upstream, Domain: "d0"}, {Upstream: "other", Domain: "d1"}}, nil, now)
-					leverroute.Homes{}.Home(c.Upstream, c.Domain, vms)
+					router.Home("s", c.Upstream, c.Domain, vms)
 				}
 			}
 			perLeaf(b, n)
