--- a/internal/leversession/session_test.go
+++ b/internal/leversession/session_test.go
@@ -43,6 +43,7 @@
 		Dir:   "testdata",
 		Setup: setup,
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"retry":     retry,
 			"vm":        vm,
 			"faults":    faults,
 			"confirmed": confirmed,
@@ -183,12 +184,13 @@
 	}
 }
 
-// vm ACTION N kills, stops, starts, freezes or wakes a VM.
+// vm ACTION N kills, stops, starts, freezes or wakes a VM, or gives it a second
+// operators' key.
 func vm(ts *testscript.TestScript, _ bool, args []string) {
 	s := ts.Value(systemKey{}).(*system)
 	var i int
 	if len(args) != 2 {
-		ts.Fatalf("usage: vm kill|stop|start|freeze|wake N")
+		ts.Fatalf("usage: vm kill|stop|start|freeze|wake|rekey N")
 	}
 	if _, err := fmt.Sscan(args[1], &i); err != nil {
 		ts.Fatalf("vm: %v", err)
@@ -205,6 +207,9 @@
 		ts.Check(c.Process.Signal(syscall.SIGSTOP))
 	case "wake":
 		ts.Check(c.Process.Signal(syscall.SIGCONT))
+	case "rekey":
+		ts.Check(s.rekey(i))
+		ts.Check(c.Process.Signal(syscall.SIGHUP))
 	case "start":
 		ts.Check(s.startVM(i))
 		ts.Check(s.awaitReady(i))
@@ -213,6 +218,17 @@
 	}
 }
 
+// rekey writes a new operators' key before the old one into a VM's settings.
+func (s *system) rekey(i int) error {
+	path := filepath.Join(s.dir, fmt.Sprintf("vm-%d.json", i))
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	text := strings.Replace(string(raw), `"operator-key-for-trials-only"`, `"a-new-key-for-operators", "operator-key-for-trials-only"`, 1)
+	return os.WriteFile(path, []byte(text), 0o600)
+}
+
 // faults JSON sets what the platform does wrong.
 func faults(ts *testscript.TestScript, _ bool, args []string) {
 	s := ts.Value(systemKey{}).(*system)
@@ -228,6 +244,17 @@
 	}
 }
 
+// retry runs a command until it succeeds.
+func retry(ts *testscript.TestScript, _ bool, args []string) {
+	for range 100 {
+		if ts.Exec(args[0], args[1:]...) == nil {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	ts.Fatalf("%v does not succeed", args)
+}
+
 // confirmed waits until the newest version is in force on all VMs.
 func confirmed(ts *testscript.TestScript, _ bool, _ []string) {
 	for range 200 {
--- a/internal/levertrial/bounds.go
+++ b/internal/levertrial/bounds.go
@@ -24,6 +24,8 @@
 	Coverage *float64 `json:"coverage"`
 	Refused  *int     `json:"refused"`
 	Cut      *int     `json:"cut"`
+	// RefusedConnections counts connections beyond an upstream's limit.
+	RefusedConnections *int `json:"refused-connections"`
 	// UrgentP99 is the urgent p99 as a multiple of that of the case well.
 	UrgentP99 *float64 `json:"urgent-p99-of-unloaded"`
 	// Goodput and the kept work are parts of the capacity.
@@ -65,6 +67,7 @@
 	most("extra load", b.Extra, r.Extra())
 	least("coverage", b.Coverage, coverage(r.Report))
 	most("refused", whole(b.Refused), float64(refused(r.Report)))
+	most("refused connections", whole(b.RefusedConnections), float64(r.Refused))
 	most("cut", whole(b.Cut), float64(cut(r.Report)))
 	most("urgent p99 of unloaded", b.UrgentP99, float64(r.Report.Rows[leverid.Urgent].P99)/float64(max(unloaded, 1)))
 	least("goodput", b.Goodput, r.Total()/Capacity)
