internal/leverhome: follow an upstream that moves, forget one that goes

Found while reading: a gate kept the address and slots with which it was made, so an index that moved an upstream was not followed, and gates of removed upstreams stayed. Dead code goes: Result.Alone, Ticket.Deadline, HashUnit. Random choices of the spread come from the timer service's seeded source.

--- a/internal/leverhome/gate.go
+++ b/internal/leverhome/gate.go
@@ -64,6 +64,28 @@
 	return g
 }
 
+// target returns the upstream as the index describes it now.
+func (g *gate) target() leversnapshot.Upstream {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.upstream
+}
+
+// setUpstream takes in that the index describes the upstream anew: it moved, or
+// has other slots.
+func (g *gate) setUpstream(u leversnapshot.Upstream) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.upstream == u {
+		return
+	}
+	slots := g.upstream.Slots
+	g.upstream = u
+	if slots != u.Slots {
+		g.newLimiter()
+	}
+}
+
 // setPolicy puts a policy in force. A limiter starts anew only if its own part
 // of the policy changed.
 func (g *gate) setPolicy(p Policy) {
@@ -74,11 +96,15 @@
 		return
 	}
 	g.policy = p
+	g.newLimiter()
+}
+
+func (g *gate) newLimiter() {
 	slots := g.upstream.Slots
-	if p.Share > 0 && p.Share < 1 {
-		slots = max(int(float64(slots)*p.Share+0.5), 1)
+	if share := g.policy.Share; share > 0 && share < 1 {
+		slots = max(int(float64(slots)*share+0.5), 1)
 	}
-	factory, err := leverlimit.Limiters.Lookup(p.Limit)
+	factory, err := leverlimit.Limiters.Lookup(g.policy.Limit)
 	if err != nil {
 		// The configuration was checked; an unknown name can only be an empty
 		// one in a test.
@@ -206,18 +232,6 @@
 	return true
 }
 
-// alone reports whether all running jobs belong to one request.
-func (g *gate) alone(j *job) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for other := range g.running {
-		if other.query.Fingerprint != j.query.Fingerprint {
-			return false
-		}
-	}
-	return true
-}
-
 func (g *gate) busy() (waiting, running int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/leverhome/home.go
+++ b/internal/leverhome/home.go
@@ -160,7 +160,9 @@
 	if g == nil {
 		g = newGate(h, s, u, h.Directory.Policy(s))
 		h.gates[u.ID] = g
+		return g
 	}
+	g.setUpstream(u)
 	return g
 }
 
@@ -176,13 +178,14 @@
 	return waiting, running
 }
 
-// Forget drops the gates of upstreams for which keep returns false and that
+// Forget drops the gates of upstreams that the directory no longer has and that
 // have no work.
-func (h *Home) Forget(keep func(leverid.UpstreamID) bool) {
+func (h *Home) Forget() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for id, g := range h.gates {
-		if w, r := g.busy(); w+r == 0 && !keep(id) {
+		waiting, running := g.busy()
+		if _, ok := h.Directory.Upstream(g.service, id); !ok && waiting+running == 0 {
 			delete(h.gates, id)
 		}
 	}
--- a/internal/leverhome/job.go
+++ b/internal/leverhome/job.go
@@ -25,7 +25,6 @@
 	j := &job{owner: r, query: &b.Query, item: it}
 	j.ctx, j.cancel = context.WithDeadline(ctx, b.Query.Deadline)
 	j.ticket.Rank = b.Query.Rank
-	j.ticket.Deadline = b.Query.Deadline
 	return j
 }
 
@@ -36,7 +35,6 @@
 	res.Wait = j.started.Sub(j.ticket.Queued)
 	res.Service = g.home.Timer.Now().Sub(j.started)
 	if res.Outcome == levermsg.Reset {
-		res.Alone = g.alone(j)
 		g.home.Crashes.Reset(levercrash.Reset{
 			Fingerprint: j.query.Fingerprint, Service: j.query.Service,
 			Upstream: j.item.Upstream, Shard: j.item.Shard, Trial: j.query.Trial,
@@ -61,7 +59,7 @@
 		return levermsg.Result{Outcome: levermsg.Barred, Detail: "another trial of the request runs"}
 	}
 	g.home.Counters.Add("home-attempts", 1)
-	res := g.home.Client.Do(j.ctx, g.upstream, j.query, j.item)
+	res := g.home.Client.Do(j.ctx, g.target(), j.query, j.item)
 	if j.query.Trial {
 		g.home.Crashes.EndTrial(j.query.Fingerprint)
 		if res.Outcome == levermsg.OK {
--- a/internal/leverid/id.go
+++ b/internal/leverid/id.go
@@ -64,9 +64,3 @@
 	}
 	return d.Sum64()
 }
-
-// HashUnit maps a hash to [0, 1).
-func HashUnit(h uint64) float64 {
-	const mantissaBits = 53
-	return float64(h>>(64-mantissaBits)) / (1 << mantissaBits)
-}
--- a/internal/leverkernel/force.go
+++ b/internal/leverkernel/force.go
@@ -124,6 +124,7 @@
 		n.log.For("index").Warn("an index object went back; the last one stays in force", "key", it.Key)
 		return
 	}
+	n.home.Forget()
 	n.events.Add(leverevent.IndexInForce, string(x.Service), fmt.Sprint(x.Newest().Version))
 }
 
--- a/internal/leverkernel/node.go
+++ b/internal/leverkernel/node.go
@@ -93,6 +93,9 @@
 		members:  levermember.NewView(o.Self),
 		board:    &leverspread.Board{},
 	}
+	if o.Seed != 0 {
+		n.timer.Seed(o.Seed)
+	}
 	n.directory = &leversnapshot.Directory{}
 	n.force.Store(firstForce(o.Self.ID))
 	n.store = leverstore.NewLimited(o.Store, n.force.Load().doc.System.StoreRate)
--- a/internal/levermsg/query.go
+++ b/internal/levermsg/query.go
@@ -151,9 +151,6 @@
 	// Wait is the time in the home's queue, Service the upstream's time.
 	Wait    time.Duration `msgpack:"w"`
 	Service time.Duration `msgpack:"s"`
-	// Alone means that a reset hit no attempt of another request at the
-	// same upstream at the same time.
-	Alone bool `msgpack:"e"`
 	// Room is what the upstream's home knows of its load.
 	Room Room `msgpack:"m"`
 	// Detail explains a failure to an operator.
--- a/internal/leverrank/queue.go
+++ b/internal/leverrank/queue.go
@@ -14,9 +14,8 @@
 
 // Ticket is the place of one piece of work in a Queue.
 type Ticket struct {
-	Rank     leverid.Rank
-	Deadline time.Time
-	Queued   time.Time
+	Rank   leverid.Rank
+	Queued time.Time
 
 	withdrawn bool
 	queued    bool
--- a/internal/leverspread/spreader.go
+++ b/internal/leverspread/spreader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -74,6 +73,8 @@
 	beatPeriod   = time.Second
 	beatJitter   = 0.2
 	exchangeTime = time.Second
+	// otherRange is above every fleet's size.
+	otherRange = 1 << 20
 	// watchWait is how long a watch waits for a change.
 	watchWait = 20 * time.Second
 )
@@ -142,7 +143,7 @@
 func (s *Spreader) push(news []Item, from leverid.VMID) {
 	t := s.tree()
 	targets := t.Neighbours()
-	if vm, ok := t.Other(rand.IntN(1 << 20)); ok {
+	if vm, ok := t.Other(s.Timer.Pick(otherRange)); ok {
 		targets = append(targets, vm)
 	}
 	seen := map[leverid.VMID]bool{from: true}
@@ -207,7 +208,7 @@
 		t := s.tree()
 		vm, ok := t.Parent()
 		if n%2 == 1 || !ok {
-			vm, ok = t.Other(rand.IntN(1 << 20))
+			vm, ok = t.Other(s.Timer.Pick(otherRange))
 		}
 		if ok {
 			s.Beat(ctx, vm)
--- a/internal/levertimer/timer.go
+++ b/internal/levertimer/timer.go
@@ -27,7 +27,7 @@
 	return s.active
 }
 
-// Seed makes the jitter of later subscriptions repeatable.
+// Seed makes later random choices repeatable.
 func (s *Service) Seed(seed uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -45,6 +45,16 @@
 	return time.Duration(float64(d) * (1 - part + 2*part*u))
 }
 
+// Pick returns a random number in [0, n), which must be positive.
+func (s *Service) Pick(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rng != nil {
+		return s.rng.IntN(n)
+	}
+	return rand.IntN(n)
+}
+
 // Subscription delivers the time on C until it is stopped. A reader that is
 // slow misses ticks; ticks never queue up.
 type Subscription struct {
