--- a/internal/leverhome/home_test.go
+++ b/internal/leverhome/home_test.go
@@ -108,8 +108,10 @@
 		var r results
 		h.Start(t.Context(), batch(0, 10, leverid.Bulk, time.Minute), r.sink)
 		time.Sleep(time.Millisecond)
+		synctest.Wait()
 		h.Start(t.Context(), batch(100, 4, leverid.Urgent, time.Minute), r.sink)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		is.Equal(r.n, 14) // each attempt ends once
 		is.Equal(w.most, 2)
 		is.Equal(fmt.Sprint(w.ranks[2:6]), "[urgent urgent urgent urgent]") // urgent work passes what waits
@@ -123,6 +125,7 @@
 		var r results
 		h.Start(t.Context(), batch(0, 200, leverid.Routine, 100*time.Millisecond), r.sink)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		is.Equal(r.n, 200)
 		shed := 0
 		for _, res := range r.all {
@@ -143,6 +146,7 @@
 		var r results
 		run := h.Start(t.Context(), batch(0, 4, leverid.Routine, time.Minute), r.sink)
 		time.Sleep(time.Millisecond)
+		synctest.Wait()
 		run.Withdraw([]leverid.AttemptID{0, 3, 99})
 		synctest.Wait()
 		is.Equal(r.all[0].Outcome, levermsg.Withdrawn)
@@ -150,6 +154,7 @@
 		is.Equal(r.all[3].Outcome, levermsg.Withdrawn)
 		is.Equal(r.all[3].Run, leverid.NotRun) // it waited
 		time.Sleep(time.Second)
+		synctest.Wait()
 		is.Equal(r.n, 4)
 	})
 }
@@ -161,9 +166,11 @@
 		var r results
 		h.Start(t.Context(), batch(0, 1, leverid.Routine, time.Minute), r.sink)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		w.upstream = leversnapshot.Upstream{ID: "u", Address: "second", Slots: 3}
 		h.Start(t.Context(), batch(10, 9, leverid.Routine, time.Minute), r.sink)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		is.Equal(w.addresses[0], "first")
 		is.Equal(w.addresses[1], "second")
 		is.Equal(w.most, 3) // the new slots
@@ -187,6 +194,7 @@
 		trial.Query.Trial = true
 		h.Start(t.Context(), trial, r.sink)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		is.Equal(r.all[1].Outcome, levermsg.OK)
 	})
 }
