--- a/internal/leverhome/home_test.go
+++ b/internal/leverhome/home_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -101,6 +103,39 @@
 	r.n++
 }
 
+func (r *results) get(id leverid.AttemptID) levermsg.Result { return r.snapshot()[id] }
+
+func (r *results) snapshot() map[leverid.AttemptID]levermsg.Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.all)
+}
+
+func (r *results) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.n
+}
+
+// seen is what the upstream has seen.
+type seen struct {
+	addresses []string
+	ranks     []leverid.Rank
+	most      int
+}
+
+func (w *world) snapshot() seen {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return seen{slices.Clone(w.addresses), slices.Clone(w.ranks), w.most}
+}
+
+func (w *world) set(u leversnapshot.Upstream) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.upstream = u
+}
+
 func TestSlotsAndRanks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -112,9 +147,9 @@
 		h.Start(t.Context(), batch(100, 4, leverid.Urgent, time.Minute), r.sink)
 		time.Sleep(time.Second)
 		synctest.Wait()
-		is.Equal(r.n, 14) // each attempt ends once
-		is.Equal(w.most, 2)
-		is.Equal(fmt.Sprint(w.ranks[2:6]), "[urgent urgent urgent urgent]") // urgent work passes what waits
+		is.Equal(r.count(), 14) // each attempt ends once
+		is.Equal(w.snapshot().most, 2)
+		is.Equal(fmt.Sprint(w.snapshot().ranks[2:6]), "[urgent urgent urgent urgent]") // urgent work passes what waits
 	})
 }
 
@@ -126,16 +161,16 @@
 		h.Start(t.Context(), batch(0, 200, leverid.Routine, 100*time.Millisecond), r.sink)
 		time.Sleep(time.Second)
 		synctest.Wait()
-		is.Equal(r.n, 200)
+		is.Equal(r.count(), 200)
 		shed := 0
-		for _, res := range r.all {
+		for _, res := range r.snapshot() {
 			if res.Outcome == levermsg.Shed || res.Outcome == levermsg.Expired {
 				is.Equal(res.Run, leverid.NotRun)
 				shed++
 			}
 		}
-		is.Equal(shed+len(w.ranks), 200)
-		is.True(len(w.ranks) <= 22) // two slots, 100 ms
+		is.Equal(shed+len(w.snapshot().ranks), 200)
+		is.True(len(w.snapshot().ranks) <= 22) // two slots, 100 ms
 	})
 }
 
@@ -149,13 +184,13 @@
 		synctest.Wait()
 		run.Withdraw([]leverid.AttemptID{0, 3, 99})
 		synctest.Wait()
-		is.Equal(r.all[0].Outcome, levermsg.Withdrawn)
-		is.Equal(r.all[0].Run, leverid.MayHaveRun) // it ran
-		is.Equal(r.all[3].Outcome, levermsg.Withdrawn)
-		is.Equal(r.all[3].Run, leverid.NotRun) // it waited
+		is.Equal(r.get(0).Outcome, levermsg.Withdrawn)
+		is.Equal(r.get(0).Run, leverid.MayHaveRun) // it ran
+		is.Equal(r.get(3).Outcome, levermsg.Withdrawn)
+		is.Equal(r.get(3).Run, leverid.NotRun) // it waited
 		time.Sleep(time.Second)
 		synctest.Wait()
-		is.Equal(r.n, 4)
+		is.Equal(r.count(), 4)
 	})
 }
 
@@ -167,18 +202,18 @@
 		h.Start(t.Context(), batch(0, 1, leverid.Routine, time.Minute), r.sink)
 		time.Sleep(time.Second)
 		synctest.Wait()
-		w.upstream = leversnapshot.Upstream{ID: "u", Address: "second", Slots: 3}
+		w.set(leversnapshot.Upstream{ID: "u", Address: "second", Slots: 3})
 		h.Start(t.Context(), batch(10, 9, leverid.Routine, time.Minute), r.sink)
 		time.Sleep(time.Second)
 		synctest.Wait()
-		is.Equal(w.addresses[0], "first")
-		is.Equal(w.addresses[1], "second")
-		is.Equal(w.most, 3) // the new slots
-		w.upstream = leversnapshot.Upstream{}
+		is.Equal(w.snapshot().addresses[0], "first")
+		is.Equal(w.snapshot().addresses[1], "second")
+		is.Equal(w.snapshot().most, 3) // the new slots
+		w.set(leversnapshot.Upstream{})
 		h.Forget()
 		h.Start(t.Context(), batch(20, 1, leverid.Routine, time.Minute), r.sink)
-		is.Equal(r.all[20].Outcome, levermsg.Unreachable)
-		is.Equal(r.all[20].Run, leverid.NotRun)
+		is.Equal(r.get(20).Outcome, levermsg.Unreachable)
+		is.Equal(r.get(20).Run, leverid.NotRun)
 	})
 }
 
@@ -189,12 +224,12 @@
 		w.level = levercrash.Suspect
 		var r results
 		h.Start(t.Context(), batch(0, 1, leverid.Routine, time.Minute), r.sink)
-		is.Equal(r.all[0].Outcome, levermsg.Barred)
+		is.Equal(r.get(0).Outcome, levermsg.Barred)
 		trial := batch(1, 1, leverid.Routine, time.Minute)
 		trial.Query.Trial = true
 		h.Start(t.Context(), trial, r.sink)
 		time.Sleep(time.Second)
 		synctest.Wait()
-		is.Equal(r.all[1].Outcome, levermsg.OK)
+		is.Equal(r.get(1).Outcome, levermsg.OK)
 	})
 }
