internal/levercrash: an entry comes after the one that it replaces

Found by rapid (TestGuardsAgree, steps 0, 2, 24): a fingerprint that was cleared in the same instant as it became suspect, or on a VM whose clock is behind, stayed suspect on the other VMs for two minutes, as the later time wins. An entry's time is now later than that of the entry it replaces.

--- a/internal/levercrash/guard.go
+++ b/internal/levercrash/guard.go
@@ -166,7 +166,7 @@
 		return false
 	}
 	e.Level = Clear
-	e.Since = now
+	e.Since = after(e, now)
 	e.Until = now.Add(suspectLife)
 	g.entries[f] = e
 	g.changed++
@@ -214,6 +214,15 @@
 	return news
 }
 
+// after returns now, or a time just after the entry that is replaced if that is
+// later: the clock of the VM that made it may be ahead.
+func after(old Entry, now time.Time) time.Time {
+	if now.After(old.Since) {
+		return now
+	}
+	return old.Since.Add(time.Nanosecond)
+}
+
 // outweighs reports whether a replaces b. A bar stands until it lapses; between
 // the other levels the later entry counts.
 func outweighs(a, b Entry) bool {
@@ -263,7 +272,7 @@
 		Level:       level,
 		Service:     r.Service,
 		Upstream:    r.Upstream,
-		Since:       now,
+		Since:       after(g.entries[r.Fingerprint], now),
 		Until:       now.Add(life),
 	})
 	return true
--- /dev/null
+++ b/internal/levercrash/guard_test.go
@@ -0,0 +1,159 @@
+package levercrash_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"arbutuslever.dev/lever/internal/levercrash"
+	"arbutuslever.dev/lever/internal/leverid"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// init fixes the seed, so that every run gives the same verdict.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+var begin = time.Unix(1000, 0)
+
+func reset(u leverid.UpstreamID, shard leverid.ShardID, trial bool) levercrash.Reset {
+	return levercrash.Reset{Fingerprint: 7, Service: "s", Upstream: u, Shard: shard, Trial: trial}
+}
+
+func TestLevels(t *testing.T) {
+	cases := map[string]struct {
+		act  func(g *levercrash.Guard)
+		want levercrash.Level
+	}{
+		"one reset":          {func(g *levercrash.Guard) { g.Reset(reset("a", 0, false), begin) }, levercrash.Clear},
+		"one upstream twice": {func(g *levercrash.Guard) { g.Reset(reset("a", 0, false), begin); g.Reset(reset("a", 0, false), begin) }, levercrash.Clear},
+		"two upstreams":      {func(g *levercrash.Guard) { g.Reset(reset("a", 0, false), begin); g.Reset(reset("b", 1, false), begin) }, levercrash.Suspect},
+		"two, another shard answered": {func(g *levercrash.Guard) {
+			g.Reset(reset("a", 0, false), begin)
+			g.Good(7, 2, begin)
+			g.Reset(reset("b", 1, false), begin)
+		}, levercrash.Clear},
+		"two replicas, others answered": {func(g *levercrash.Guard) {
+			g.Reset(reset("a", 0, false), begin)
+			g.Good(7, 2, begin)
+			g.Reset(reset("b", 0, false), begin)
+		}, levercrash.Suspect},
+		"shard answered in between": {func(g *levercrash.Guard) {
+			g.Reset(reset("a", 0, false), begin)
+			g.Good(7, 0, begin)
+			g.Reset(reset("b", 0, false), begin)
+		}, levercrash.Clear},
+		"resets far apart": {func(g *levercrash.Guard) {
+			g.Reset(reset("a", 0, false), begin.Add(-time.Minute))
+			g.Reset(reset("b", 1, false), begin)
+		}, levercrash.Clear},
+		"trial went well": {func(g *levercrash.Guard) {
+			g.Reset(reset("a", 0, false), begin)
+			g.Reset(reset("b", 1, false), begin)
+			g.Pass(7, begin)
+		}, levercrash.Clear},
+		"trial was reset": {func(g *levercrash.Guard) {
+			g.Reset(reset("a", 0, false), begin)
+			g.Reset(reset("b", 1, false), begin)
+			g.Reset(reset("c", 0, true), begin)
+			g.Pass(7, begin) // a bar stands
+		}, levercrash.Barred},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var g levercrash.Guard
+			c.act(&g)
+			level, _ := g.Level(7, begin)
+			is.Equal(level, c.want)
+			level, _ = g.Level(7, begin.Add(time.Hour))
+			is.Equal(level, levercrash.Clear) // entries lapse
+		})
+	}
+}
+
+// TestGuardsAgree runs random steps on two VMs' guards that tell each other
+// their entries: a bar never falls before it lapses, nothing is suspect without
+// two upstreams that reset it, and in the end both agree.
+func TestGuardsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		guards := [2]*levercrash.Guard{{}, {}}
+		now := begin
+		resets := make(map[leverid.UpstreamID]bool)
+		barredUntil := time.Time{}
+		for _, step := range rapid.SliceOfN(rapid.IntRange(0, 999), 1, 60).Draw(t, "steps") {
+			g := guards[step%2]
+			u := leverid.UpstreamID(rune('a' + step/2%4))
+			switch step / 8 % 5 {
+			case 0, 1:
+				resets[u] = true
+				level, _ := g.Level(7, now)
+				after, _ := g.Reset(reset(u, leverid.ShardID(step/2%2), level == levercrash.Suspect), now)
+				if after == levercrash.Barred && level != levercrash.Barred {
+					barredUntil = now.Add(10 * time.Minute)
+				}
+			case 2:
+				g.Good(7, leverid.ShardID(step/2%2), now)
+			case 3:
+				g.Pass(7, now)
+			case 4:
+				now = now.Add(time.Duration(step) * time.Millisecond)
+			}
+			exchange(guards, now)
+			for _, g := range guards {
+				level, _ := g.Level(7, now)
+				if now.Before(barredUntil) && level != levercrash.Barred {
+					t.Fatalf("a bar fell to level %d", level)
+				}
+				if level > levercrash.Clear && len(resets) < 2 {
+					t.Fatalf("level %d after resets of %v", level, resets)
+				}
+			}
+		}
+		exchange(guards, now)
+		a, _ := guards[0].Level(7, now)
+		b, _ := guards[1].Level(7, now)
+		if a != b {
+			t.Fatalf("levels %d and %d after all was told", a, b)
+		}
+	})
+}
+
+// exchange tells each guard the other's entries.
+func exchange(guards [2]*levercrash.Guard, now time.Time) {
+	for i, g := range guards {
+		entries, _ := g.Entries(now)
+		guards[1-i].Merge(entries, now)
+	}
+}
+
+func TestOneTrialAtATime(t *testing.T) {
+	is := is.New(t)
+	var g levercrash.Guard
+	is.True(g.BeginTrial(7))
+	is.True(!g.BeginTrial(7))
+	is.True(g.BeginTrial(8))
+	g.EndTrial(7)
+	is.True(g.BeginTrial(7))
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	var g levercrash.Guard
+	var entries []levercrash.Entry
+	for i := range 10000 {
+		entries = append(entries, levercrash.Entry{
+			Fingerprint: leverid.Fingerprint(i + 1), Level: levercrash.Barred, Since: begin, Until: begin.Add(time.Duration(i) * time.Second),
+		})
+	}
+	g.Merge(entries, begin)
+	kept, _ := g.Entries(begin)
+	is.True(len(kept) <= 4096)
+	level, _ := g.Level(10000, begin)
+	is.Equal(level, levercrash.Barred) // those that lapse first made room
+}
