--- a/internal/leverclaim/ledger.go
+++ b/internal/leverclaim/ledger.go
@@ -126,9 +126,7 @@
 			return
 		}
 		w.commit(batch)
-		t := w.ledger.Timer.After(commitGap)
-		<-t.C
-		t.Stop()
+		w.ledger.Timer.Sleep(context.Background(), commitGap)
 	}
 }
 
--- a/internal/leverconfig/submit.go
+++ b/internal/leverconfig/submit.go
@@ -93,7 +93,7 @@
 			return out
 		}
 		uncertain = uncertain || errors.Is(err, leverstore.ErrUnknown)
-		if !s.sleep(ctx, pause) {
+		if !s.Timer.Sleep(ctx, s.Timer.Jitter(pause, jitterPart)) {
 			return giveUp(uncertain, err)
 		}
 		pause = min(2*pause, maxPause)
@@ -157,15 +157,3 @@
 	st, err := ParseStored(o.Value)
 	return st, o.Revision, err
 }
-
-// sleep waits for a jittered pause. It returns false if ctx ends first.
-func (s *Submitter) sleep(ctx context.Context, d time.Duration) bool {
-	t := s.Timer.After(s.Timer.Jitter(d, jitterPart))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/leverkernel/crash.go
+++ b/internal/leverkernel/crash.go
@@ -201,9 +201,7 @@
 			c.node.counters.Add("crash-keep-failures", 1)
 			c.markDirty()
 		}
-		t := c.node.timer.After(keepPause)
-		<-t.C
-		t.Stop()
+		c.node.timer.Sleep(ctx, keepPause)
 	}
 }
 
--- a/internal/leverkernel/life.go
+++ b/internal/leverkernel/life.go
@@ -41,9 +41,7 @@
 		if b.once(ctx) {
 			break
 		}
-		t := n.timer.After(n.timer.Jitter(bootPause, bootNoise))
-		<-t.C
-		t.Stop()
+		n.timer.Sleep(ctx, n.timer.Jitter(bootPause, bootNoise))
 	}
 	if ctx.Err() != nil {
 		return
--- a/internal/leverquery/trial.go
+++ b/internal/leverquery/trial.go
@@ -36,7 +36,7 @@
 			e.Crashes.Pass(req.Fingerprint())
 			return nil
 		}
-		if !e.pause(ctx, trialPause) {
+		if !e.Timer.Sleep(ctx, trialPause) {
 			return trialRefusal(CrashSuspected, sent, "a trial on one shard did not succeed in time")
 		}
 	}
@@ -53,18 +53,6 @@
 	return r
 }
 
-// pause waits for d. It returns false if ctx ends first.
-func (e *Engine) pause(ctx context.Context, d time.Duration) bool {
-	t := e.Timer.After(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // trialAt names the shard that a trial goes to: that of the upstream that ended
 // the request's connection, or any if the map lacks it.
 func trialAt(m leversnapshot.Map, upstream leverid.UpstreamID) leverid.ShardID {
--- a/internal/leverspread/spreader.go
+++ b/internal/leverspread/spreader.go
@@ -202,7 +202,7 @@
 // every other time, with a random VM in between.
 func (s *Spreader) runBeats(ctx context.Context) {
 	for n := 0; ; n++ {
-		if !sleep(ctx, s.Timer, s.Timer.Jitter(beatPeriod, beatJitter)) {
+		if !s.Timer.Sleep(ctx, s.Timer.Jitter(beatPeriod, beatJitter)) {
 			return
 		}
 		t := s.tree()
@@ -243,15 +243,3 @@
 	s.install(r.Items, vm.ID)
 	return true
 }
-
-// sleep waits for d. It returns false if ctx ends first.
-func sleep(ctx context.Context, timer *levertimer.Service, d time.Duration) bool {
-	t := timer.After(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/leverspread/watch.go
+++ b/internal/leverspread/watch.go
@@ -76,7 +76,7 @@
 
 func (b *backoff) sleep(ctx context.Context, s *Spreader) bool {
 	b.next = min(max(2*b.next, firstBackoff), maxBackoff)
-	return sleep(ctx, s.Timer, s.Timer.Jitter(b.next, backoffNoise))
+	return s.Timer.Sleep(ctx, s.Timer.Jitter(b.next, backoffNoise))
 }
 
 // watch follows the objects below one prefix while this VM is a watcher.
@@ -92,7 +92,7 @@
 	for ctx.Err() == nil {
 		if !w.spreader.tree().Watches(w.spreader.Watchers()) {
 			w.listed = false
-			if !sleep(ctx, w.spreader.Timer, idlePause) {
+			if !w.spreader.Timer.Sleep(ctx, idlePause) {
 				return
 			}
 			continue
@@ -141,7 +141,7 @@
 	var pause backoff
 	for ctx.Err() == nil {
 		if !w.spreader.tree().Watches(w.spreader.Watchers()) {
-			if !sleep(ctx, w.spreader.Timer, idlePause) {
+			if !w.spreader.Timer.Sleep(ctx, idlePause) {
 				return
 			}
 			continue
@@ -212,7 +212,7 @@
 		n := len(s.Members.Live(s.Timer.Now()))
 		const calls = 4
 		period := max(s.Backstop(), time.Duration(n*calls/backstopSpread)*time.Second)
-		if !sleep(ctx, s.Timer, s.Timer.Jitter(period, backoffNoise)) {
+		if !s.Timer.Sleep(ctx, s.Timer.Jitter(period, backoffNoise)) {
 			return
 		}
 		if s.tree().Watches(s.Watchers()) {
--- a/internal/levertimer/timer.go
+++ b/internal/levertimer/timer.go
@@ -4,6 +4,7 @@
 package levertimer
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -81,6 +82,18 @@
 	return &Subscription{C: t.C, stop: func() { t.Stop(); s.add(-1) }}
 }
 
+// Sleep waits for d. It returns false if ctx ends first.
+func (s *Service) Sleep(ctx context.Context, d time.Duration) bool {
+	t := s.After(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (s *Service) add(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
