internal/leverrank: begin the even spread at a random point

Cause: each VM let the first query of a rank in only when its fractions had added up to one. In a large fleet, where a VM sees few queries of a service, nothing came through: 2,000 VMs with 5 queries each at a fraction of 0.1 let 0 of 1,000 in.

--- a/internal/leverrank/admit.go
+++ b/internal/leverrank/admit.go
@@ -1,6 +1,7 @@
 package leverrank
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -96,6 +97,10 @@
 	defer a.mu.Unlock()
 	for r := range f {
 		a.fraction[r] = float64(f[r])
+		if a.known.IsZero() {
+			// VMs that see few queries must not all begin with a refusal.
+			a.carry[r] = rand.Float64()
+		}
 	}
 	a.known = now
 }
--- a/internal/leverrank/rank_test.go
+++ b/internal/leverrank/rank_test.go
@@ -121,6 +121,26 @@
 	is.True(a.Admit(leverid.Bulk, now.Add(time.Minute))) // the feedback is old
 }
 
+// TestAdmitterOfFewQueries offers few queries to each of many VMs: together they
+// let in the fraction, though no VM sees enough of them for one whole.
+func TestAdmitterOfFewQueries(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	const vms, each, fraction = 2000, 5, 0.1
+	admitted := 0
+	for range vms {
+		var a leverrank.FloorAdmitter
+		a.Feedback([leverid.RankCount]float32{1, 1, fraction}, now)
+		for range each {
+			if a.Admit(leverid.Bulk, now) {
+				admitted++
+			}
+		}
+	}
+	want := vms * each * fraction
+	is.True(float64(admitted) > 0.85*want && float64(admitted) < 1.15*want)
+}
+
 func TestReportsLapse(t *testing.T) {
 	is := is.New(t)
 	var p leverrank.Reports
