internal/leverkernel: follow a deleted index and a changed claim-keep-s

Found while reading: a service whose index was deleted stayed on the VMs that knew it and was unknown to those that started later; claim-keep-s was read once at the start, so a patch of it had no effect. TestServiceGoesAndComesBack; the ledger now asks for the time with each claim.

--- a/internal/leverclaim/ledger.go
+++ b/internal/leverclaim/ledger.go
@@ -42,8 +42,8 @@
 	Store    Keeper
 	Timer    *levertimer.Service
 	Counters *leverevent.Counters
-	// Keep is how long a claim stands.
-	Keep time.Duration
+	// Keep returns how long a new claim stands.
+	Keep func() time.Duration
 	// Timeout bounds the settling of one batch.
 	Timeout time.Duration
 
@@ -222,7 +222,7 @@
 	next := &Range{Claims: append([]Claim(nil), w.known.Claims...)}
 	now := w.ledger.Timer.Now()
 	next.Expire(now)
-	expires := now.Add(w.ledger.Keep).Unix()
+	expires := now.Add(w.ledger.Keep()).Unix()
 	var open []change
 	for _, c := range batch {
 		held := next.Holds(c.id, c.nonce)
--- a/internal/leverevent/event.go
+++ b/internal/leverevent/event.go
@@ -35,6 +35,7 @@
 	ConfigRejected Kind = "config-rejected"
 	ConfigUnknown  Kind = "config-unknown"
 	IndexInForce   Kind = "index-in-force"
+	IndexRemoved   Kind = "index-removed"
 	ListChanged    Kind = "vm-list-changed"
 	PeerDown       Kind = "peer-down"
 	PeerUp         Kind = "peer-up"
--- a/internal/leverkernel/answer_test.go
+++ b/internal/leverkernel/answer_test.go
@@ -62,6 +62,26 @@
 	})
 }
 
+// TestServiceGoesAndComesBack deletes a service's index and publishes it again.
+func TestServiceGoesAndComesBack(t *testing.T) {
+	inSystem(t, func(is *is.I, s *levertest.System) {
+		x := s.Index("portal")
+		s.Unpublish("portal")
+		time.Sleep(inForceBound)
+		for _, n := range s.Nodes() {
+			e := s.Send(n, levertest.Ask{Service: "portal", ID: leverid.RequestID("gone-" + n.Self().ID), Deadline: time.Second})
+			is.True(e.Problem != nil)
+			is.Equal(e.Problem.Reason(), "unknown-service")
+		}
+		s.Publish(x)
+		time.Sleep(inForceBound)
+		for _, n := range s.Nodes() {
+			e := s.Send(n, levertest.Ask{Service: "portal", ID: leverid.RequestID("back-" + n.Self().ID), Deadline: time.Second})
+			is.True(e.Answer != nil && e.Answer.Coverage.Whole())
+		}
+	})
+}
+
 // TestListLags lets the platform's list name a dead VM and miss a live one for
 // as long as the load goes on.
 func TestListLags(t *testing.T) {
--- a/internal/leverkernel/force.go
+++ b/internal/leverkernel/force.go
@@ -57,7 +57,10 @@
 
 // news takes in an item that the board installed.
 func (n *Node) news(it leverspread.Item) {
+	index, isIndex := strings.CutPrefix(string(it.Key), string(leverstore.IndexPrefix))
 	switch {
+	case it.Deleted && isIndex:
+		n.removeIndex(leverid.ServiceID(index))
 	case it.Deleted:
 		n.log.For("spread").Warn("an object was deleted; the last one stays in force", "key", it.Key)
 	case it.Key == leverstore.ConfigKey:
@@ -66,11 +69,20 @@
 		n.installList(it)
 	case it.Key == leverstore.CrashKey:
 		n.crashes.load(it.Value)
-	case strings.HasPrefix(string(it.Key), string(leverstore.IndexPrefix)):
+	case isIndex:
 		n.installIndex(it)
 	}
 }
 
+// removeIndex ends a service whose owner has deleted its index. Queries under
+// way go on with their pin.
+func (n *Node) removeIndex(s leverid.ServiceID) {
+	if n.directory.Remove(s) {
+		n.home.Forget()
+		n.events.Add(leverevent.IndexRemoved, string(s), "")
+	}
+}
+
 // installConfig puts a configuration in force. One that this VM can't read, or
 // whose version is lower than the one in force, changes nothing.
 func (n *Node) installConfig(it leverspread.Item) {
--- a/internal/leverkernel/node.go
+++ b/internal/leverkernel/node.go
@@ -139,7 +139,8 @@
 	}
 	n.ledger = &leverclaim.Ledger{
 		Store: n.claimStore, Timer: n.timer, Counters: n.counters,
-		Keep: seconds(n.force.Load().doc.System.ClaimKeepS), Timeout: claimTimeout,
+		Keep:    func() time.Duration { return seconds(n.force.Load().doc.System.ClaimKeepS) },
+		Timeout: claimTimeout,
 	}
 	n.engine = &leverquery.Engine{
 		Self: n.opts.Self.ID, Timer: n.timer, Counters: n.counters, Events: n.events,
--- a/internal/leversnapshot/directory.go
+++ b/internal/leversnapshot/directory.go
@@ -42,6 +42,16 @@
 	return true
 }
 
+// Remove takes out a service whose index is gone. It reports whether there was
+// one.
+func (d *Directory) Remove(s leverid.ServiceID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, ok := d.entries[s]
+	delete(d.entries, s)
+	return ok
+}
+
 // Index returns the index of a service, or a NotFound error.
 func (d *Directory) Index(s leverid.ServiceID) (*Index, error) {
 	d.mu.RLock()
--- a/internal/levertest/system.go
+++ b/internal/levertest/system.go
@@ -135,6 +135,18 @@
 	s.mustPut(leverstore.IndexPrefix+leverid.ObjectKey(x.Service), x)
 }
 
+// Unpublish deletes a service's index object.
+func (s *System) Unpublish(id leverid.ServiceID) {
+	key := leverstore.IndexPrefix + leverid.ObjectKey(id)
+	o, err := s.Platform.Get(context.Background(), key)
+	if err != nil {
+		panic(err)
+	}
+	if err := s.Platform.Delete(context.Background(), key, o.Revision); err != nil {
+		panic(err)
+	}
+}
+
 // Index returns the published index of a service.
 func (s *System) Index(id leverid.ServiceID) *leversnapshot.Index {
 	o, err := s.Platform.Get(context.Background(), leverstore.IndexPrefix+leverid.ObjectKey(id))
