--- a/cmd/arbutusctl/trial.go
+++ b/cmd/arbutusctl/trial.go
@@ -111,9 +111,12 @@
 
 func (l *load) run(ctx context.Context) {
 	defer l.wg.Done()
+	// The times are fixed beforehand: a send that comes late is not followed
+	// by a later one.
+	next := time.Now()
 	for n := 0; ; n++ {
-		gap := time.Duration(l.rng.ExpFloat64() / l.rate * float64(time.Second))
-		t := time.NewTimer(gap)
+		next = next.Add(time.Duration(l.rng.ExpFloat64() / l.rate * float64(time.Second)))
+		t := time.NewTimer(time.Until(next))
 		select {
 		case <-t.C:
 		case <-ctx.Done():
--- a/internal/leverfit/draw.go
+++ b/internal/leverfit/draw.go
@@ -18,9 +18,18 @@
 	tileColumns = 4
 )
 
+const tableHead = `# Slopes
+
+Written by scripts/slopes.sh: the points, and the straight line through them. The
+sizes of "index" series are services at 7 VMs, of "control" series VMs with 50
+services.
+
+`
+
 // Table writes the series and their lines as Markdown.
 func Table(w io.Writer, all []Series) error {
 	var b strings.Builder
+	b.WriteString(tableHead)
 	b.WriteString("| measured | unit | against | points | at zero | slope | fit R2 |\n| --- | --- | --- | --- | --- | --- | --- |\n")
 	for i := range all {
 		s := &all[i]
--- a/internal/leverops/ops.go
+++ b/internal/leverops/ops.go
@@ -8,6 +8,7 @@
 	"expvar"
 	"io"
 	"net/http"
+	"net/http/pprof"
 	"slices"
 	"strconv"
 	"strings"
@@ -43,6 +44,7 @@
 	f.handle(mux, "GET /v1/operator/status", f.status)
 	f.handle(mux, "GET /v1/operator/vms", f.vms)
 	f.handle(mux, "GET /v1/operator/events", f.events)
+	f.handle(mux, "GET /v1/operator/profile", pprof.Profile)
 	f.handle(mux, "GET /v1/operator/metrics", expvar.Handler().ServeHTTP)
 }
 
--- a/pkg/leverclient/client.go
+++ b/pkg/leverclient/client.go
@@ -24,12 +24,23 @@
 	// Resends is how often a query may be sent again. A query that is not
 	// repeatable is sent again only if it was certainly not run.
 	Resends int
-	// HTTP is the client to use, http.DefaultClient if nil.
+	// HTTP is the client to use. If it is nil, one is used that keeps up to 64
+	// idle connections to each VM.
 	HTTP *http.Client
 
 	next atomic.Uint64
 }
 
+// idlePerVM is the number of idle connections that are kept to each VM.
+const idlePerVM = 64
+
+// pooled is the client of every Client that has none of its own.
+var pooled = &http.Client{Transport: &http.Transport{
+	Proxy:               http.ProxyFromEnvironment,
+	MaxIdleConnsPerHost: idlePerVM,
+	IdleConnTimeout:     time.Minute,
+}}
+
 // maxAnswer bounds an answer's body in bytes.
 const maxAnswer = 256 << 20
 
@@ -111,7 +122,7 @@
 	r.Header.Set("Content-Type", "application/json")
 	h := c.HTTP
 	if h == nil {
-		h = http.DefaultClient
+		h = pooled
 	}
 	w, err := h.Do(r)
 	if err != nil {
