--- a/internal/leverfit/draw.go
+++ b/internal/leverfit/draw.go
@@ -15,6 +15,7 @@
 const (
 	tileWidth   = 6 * vg.Centimeter
 	tileHeight  = 5 * vg.Centimeter
+	tilePad     = 7 * vg.Millimeter
 	tileColumns = 4
 )
 
@@ -52,7 +53,9 @@
 func Draw(w io.Writer, all []Series) error {
 	rows := (len(all) + tileColumns - 1) / tileColumns
 	canvas := vgsvg.New(tileColumns*tileWidth, vg.Length(max(rows, 1))*tileHeight)
-	tiles := draw.Tiles{Rows: max(rows, 1), Cols: tileColumns, PadX: vg.Millimeter, PadY: vg.Millimeter}
+	tiles := draw.Tiles{
+		Rows: max(rows, 1), Cols: tileColumns, PadX: tilePad, PadY: vg.Millimeter, PadRight: tilePad, PadLeft: vg.Millimeter,
+	}
 	for i := range all {
 		p, err := tile(&all[i])
 		if err != nil {
