internal/leverentry: ask callers to close their connections while stopping

Cause: at the end of a planned stop the server closes idle connections; a caller that sends on one at that moment sees it cut. Every answer of a stopping VM now says Connection: close, so that idle connections are gone before the end. Run: go test ./internal/leverentry.

--- a/cmd/arbutuslever/daemon.go
+++ b/cmd/arbutuslever/daemon.go
@@ -102,7 +102,7 @@
 	n := d.node
 	entry := &leverentry.Face{
 		VM: d.settings.VM, Engine: n.Engine(), Timer: n.Timer(), Counters: n.Counters(), Events: n.Events(),
-		Document: n.Document, Ready: n.Ready, Usable: n.Usable,
+		Document: n.Document, Ready: n.Ready, Usable: n.Usable, Leaving: n.Leaving,
 	}
 	entry.Register(mux)
 	ops := &leverops.Face{Node: n, Keys: d.opsKeys}
--- a/internal/leverentry/entry.go
+++ b/internal/leverentry/entry.go
@@ -44,6 +44,8 @@
 	// answer those that come all the same.
 	Ready  func() bool
 	Usable func() bool
+	// Leaving reports whether the VM is stopping.
+	Leaving func() bool
 
 	quota quota
 }
@@ -68,7 +70,9 @@
 	_, _ = io.WriteString(w, "ok\n")
 }
 
-// guard answers a panic of a handler and counts it.
+// guard answers a panic of a handler and counts it. While the VM is stopping it
+// asks callers not to use their connections again, so that none of them sends on
+// one that is being closed.
 func (f *Face) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer func() {
@@ -78,6 +82,9 @@
 				f.problem(w, "", &leverquery.Refusal{Reason: "internal", Run: leverid.MayHaveRun})
 			}
 		}()
+		if f.Leaving() {
+			w.Header().Set("Connection", "close")
+		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/leverentry/entry_test.go
+++ b/internal/leverentry/entry_test.go
@@ -26,7 +26,7 @@
 	m := http.NewServeMux()
 	entry := &leverentry.Face{
 		VM: n.Self().ID, Engine: n.Engine(), Timer: n.Timer(), Counters: n.Counters(), Events: n.Events(),
-		Document: n.Document, Ready: n.Ready, Usable: n.Usable,
+		Document: n.Document, Ready: n.Ready, Usable: n.Usable, Leaving: n.Leaving,
 	}
 	entry.Register(m)
 	ops := &leverops.Face{Node: n, Keys: leverpeer.NewKeys(operatorKey)}
@@ -139,6 +139,32 @@
 	})
 }
 
+// TestStoppingVMAnswersAndCloses sends requests to a VM whose planned stop has
+// begun: they are answered, on connections that are not used again.
+func TestStoppingVMAnswersAndCloses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := levertest.NewSystem(levertest.Options{Deployment: levermodel.TwNorth().Scaled(1), VMs: 3, Seed: 1})
+		defer s.Close()
+		s.Settle()
+		time.Sleep(2 * time.Second)
+		m := mux(s.Nodes()[0])
+		ask := func() *httptest.ResponseRecorder {
+			w := httptest.NewRecorder()
+			m.ServeHTTP(w, httptest.NewRequest("POST", "/v1/services/portal/query", strings.NewReader(`{"rank": "urgent"}`)))
+			return w
+		}
+		is.Equal(ask().Header().Get("Connection"), "")
+		s.Nodes()[0].Leave()
+		w := ask()
+		is.Equal(w.Code, http.StatusOK)
+		is.Equal(w.Header().Get("Connection"), "close")
+		ready := httptest.NewRecorder()
+		m.ServeHTTP(ready, httptest.NewRequest("GET", "/v1/ready", nil))
+		is.Equal(ready.Code, http.StatusServiceUnavailable)
+	})
+}
+
 func TestReadiness(t *testing.T) {
 	withNode(t, func(is *is.I, do func(method, path, key, body string) *httptest.ResponseRecorder) {
 		is.Equal(do("GET", "/v1/ready", "", "").Code, http.StatusOK)
--- a/internal/leverkernel/life.go
+++ b/internal/leverkernel/life.go
@@ -189,6 +189,9 @@
 	n.events.Add(kind, string(n.opts.Self.ID), "")
 }
 
+// Leaving reports whether a planned stop has begun.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
+
 // Leave begins a planned stop: the VM says that it is not ready, its peers give
 // its homes to others, and requests are still taken in.
 func (n *Node) Leave() {
