internal/levermember: a VM that starts anew is no longer leaving

Found while reading: a peer's word that it leaves counted for 60 s, also when a VM of the same name was started anew within that time, as a rolling replacement does; no upstream was given to it until then. A frame that does not say so now ends it. Run: go test ./internal/levermember ./internal/leverkernel.

--- a/internal/leverkernel/hooks.go
+++ b/internal/leverkernel/hooks.go
@@ -31,6 +31,8 @@
 	}
 	if r.Leaving {
 		n.left(vm.ID)
+	} else {
+		n.members.Stays(vm.ID)
 	}
 	if r.Config > n.ConfigVersion() {
 		n.catchUp(vm)
--- a/internal/levermember/view.go
+++ b/internal/levermember/view.go
@@ -151,6 +151,18 @@
 	return news
 }
 
+// Stays takes in a peer's word that it is not leaving: it was started anew.
+func (v *View) Stays(id leverid.VMID) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	e := v.evidence[id]
+	if e == nil || e.leaveUntil.IsZero() {
+		return
+	}
+	e.leaveUntil = time.Time{}
+	v.cached = nil
+}
+
 // Met takes in that a VM spoke to us; if the list lacks it, it counts as live
 // for some seconds.
 func (v *View) Met(vm levermsg.VM, now time.Time) {
--- a/internal/levermember/view_test.go
+++ b/internal/levermember/view_test.go
@@ -32,6 +32,7 @@
 		"dead VM in the list":  {func(v *levermember.View) { v.Failed("b", now) }, later, []leverid.VMID{"a", "self"}},
 		"back after a word":    {func(v *levermember.View) { v.Failed("b", now); v.Answered("b") }, later, []leverid.VMID{"a", "b", "self"}},
 		"its own word":         {func(v *levermember.View) { v.Left("a", now) }, later, []leverid.VMID{"b", "self"}},
+		"started anew":         {func(v *levermember.View) { v.Left("a", now); v.Stays("a") }, later, []leverid.VMID{"a", "b", "self"}},
 		"live VM not listed":   {func(v *levermember.View) { v.Met(vm("x", ""), now) }, later, []leverid.VMID{"a", "b", "self", "x"}},
 		"silent for a while":   {func(v *levermember.View) { v.Met(vm("x", ""), now) }, now.Add(time.Minute), []leverid.VMID{"a", "b", "self"}},
 		"self is leaving":      {func(v *levermember.View) { v.LeaveSelf() }, later, []leverid.VMID{"a", "b"}},
