internal/levertrial: compare with the unloaded p99 of four seeds

Cause: the bound on urgent p99 in a flood (1.3 times unloaded) was held against one run's p99 of 593 answers, which varied from 17.6 to 19.8 ms between runs, so a run near 22.7 ms might have failed by chance. The unloaded p99 now rests on the answers of four seeds; the bound stands.

--- a/internal/levertrial/trial_test.go
+++ b/internal/levertrial/trial_test.go
@@ -8,8 +8,10 @@
 	"testing/synctest"
 	"time"
 
+	"arbutuslever.dev/lever/internal/leverhistory"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/levermodel"
+	"arbutuslever.dev/lever/internal/leverreport"
 	"arbutuslever.dev/lever/internal/levertrial"
 
 	"github.com/matryer/is"
@@ -55,21 +57,32 @@
 	}
 }
 
+// unloadedP99 pools several seeds of the case well, so that the p99 that others
+// are compared with rests on some 2,400 urgent answers.
+func unloadedP99(t *testing.T, d levermodel.Deployment) time.Duration {
+	const seeds = 4
+	var all []leverhistory.Exchange
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(*testing.T) {
+			s := levertrial.Setting{Deployment: d, VMs: 7, Seed: seed + 1}
+			all = append(all, levertrial.Run(levertrial.Cases(d)[0], s, levertrial.Chosen).History.Exchanges()...)
+		})
+	}
+	return leverreport.Of(all).Rows[leverid.Urgent].P99
+}
+
 // TestBounds holds every case with the chosen policy against the bounds.
 func TestBounds(t *testing.T) {
 	bounds, err := levertrial.Bounds()
 	is.New(t).NoErr(err)
 	d := deployment("tw-north")
-	var unloaded time.Duration
+	unloaded := unloadedP99(t, d)
 	for _, c := range levertrial.Cases(d) {
 		t.Run(c.Name, func(t *testing.T) {
 			var r *levertrial.Result
 			synctest.Test(t, func(*testing.T) {
 				r = levertrial.Run(c, levertrial.Setting{Deployment: d, VMs: 7, Seed: 1}, levertrial.Chosen)
 			})
-			if c.Name == "well" {
-				unloaded = r.Report.Rows[leverid.Urgent].P99
-			}
 			for _, b := range []levertrial.Bound{bounds["all"], bounds[c.Name]} {
 				for _, text := range b.Breaches(r, unloaded) {
 					t.Error(text)
