all: one fingerprint a query, and what stood twice

Found by reading the whole change: a query hashed its body, up to a megabyte, three times or more (crash check, trial, each fan-out); it is now worked out once. The first send of a trial was searched for by two equal loops, the fakes had a sleep of their own beside levertimer's, and the crash guard counted changes that nobody read. Behaviour and assertions stay; the guard's tests only drop the unread result.

--- a/internal/levercrash/guard.go
+++ b/internal/levercrash/guard.go
@@ -99,7 +99,6 @@
 	trials   map[leverid.Fingerprint]bool
 	// watched is the number of fingerprints with evidence.
 	watched atomic.Int64
-	changed uint64
 }
 
 // Level returns the level of a fingerprint and, for a suspect, the upstream
@@ -169,7 +168,6 @@
 	e.Since = after(e, now)
 	e.Until = now.Add(suspectLife)
 	g.entries[f] = e
-	g.changed++
 	return true
 }
 
@@ -235,9 +233,8 @@
 	return a.Since.After(b.Since)
 }
 
-// Entries returns the entries that have not lapsed, Clear ones included, and a
-// number that grows with each change.
-func (g *Guard) Entries(now time.Time) ([]Entry, uint64) {
+// Entries returns the entries that have not lapsed, Clear ones included.
+func (g *Guard) Entries(now time.Time) []Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.expire(now)
@@ -245,7 +242,7 @@
 	for _, e := range g.entries {
 		out = append(out, e)
 	}
-	return out, g.changed
+	return out
 }
 
 func (g *Guard) note(r Reset, now time.Time) *evidence {
@@ -286,7 +283,6 @@
 		g.dropSoonest()
 	}
 	g.entries[e.Fingerprint] = e
-	g.changed++
 }
 
 func (g *Guard) dropSoonest() {
--- a/internal/levercrash/guard_test.go
+++ b/internal/levercrash/guard_test.go
@@ -127,7 +127,7 @@
 // exchange tells each guard the other's entries.
 func exchange(guards [2]*levercrash.Guard, now time.Time) {
 	for i, g := range guards {
-		entries, _ := g.Entries(now)
+		entries := g.Entries(now)
 		guards[1-i].Merge(entries, now)
 	}
 }
@@ -152,7 +152,7 @@
 		})
 	}
 	g.Merge(entries, begin)
-	kept, _ := g.Entries(begin)
+	kept := g.Entries(begin)
 	is.True(len(kept) <= 4096)
 	level, _ := g.Level(10000, begin)
 	is.Equal(level, levercrash.Barred) // those that lapse first made room
--- a/internal/leverkernel/crash.go
+++ b/internal/leverkernel/crash.go
@@ -123,7 +123,7 @@
 
 // share tells the other VMs about one fingerprint, and the store about all.
 func (c *crashes) share(f leverid.Fingerprint) {
-	entries, _ := c.guard.Entries(c.node.timer.Now())
+	entries := c.guard.Entries(c.node.timer.Now())
 	for _, e := range entries {
 		if e.Fingerprint == f {
 			c.tell([]levercrash.Entry{e}, "")
@@ -223,7 +223,7 @@
 	if err == nil {
 		c.load(o.Value)
 	}
-	entries, _ := c.guard.Entries(c.node.timer.Now())
+	entries := c.guard.Entries(c.node.timer.Now())
 	value, err := json.Marshal(entries)
 	if err != nil {
 		return err
--- a/internal/leverquery/request.go
+++ b/internal/leverquery/request.go
@@ -27,11 +27,19 @@
 	Version leverid.IndexVersion
 	After   string
 	Limit   int
+
+	fingerprint leverid.Fingerprint
 }
 
-// Fingerprint identifies the request's content without its id.
+// Fingerprint identifies the request's content without its id. It is worked out
+// once: the request must not change after the first call. It is not safe for
+// concurrent use.
 func (r *Request) Fingerprint() leverid.Fingerprint {
-	return leverid.Fingerprint(leverid.Hash(string(r.Service), string(r.Body), r.Key, r.After, strconv.Itoa(r.Limit)))
+	if r.fingerprint == 0 {
+		h := leverid.Hash(string(r.Service), string(r.Body), r.Key, r.After, strconv.Itoa(r.Limit))
+		r.fingerprint = leverid.Fingerprint(h)
+	}
+	return r.fingerprint
 }
 
 // Coverage says which shards of the pinned version an answer covers.
--- a/internal/levertest/upstream.go
+++ b/internal/levertest/upstream.go
@@ -9,9 +9,13 @@
 	"arbutuslever.dev/lever/internal/levermodel"
 	"arbutuslever.dev/lever/internal/levermsg"
 	"arbutuslever.dev/lever/internal/leversnapshot"
+	"arbutuslever.dev/lever/internal/levertimer"
 	"arbutuslever.dev/lever/internal/leverupstream"
 )
 
+// clock makes the waits of the fakes.
+var clock levertimer.Service
+
 // Fleet is a set of modelled upstreams that VMs call directly, with delays,
 // connections that cost time, and a limit on them. It is safe for concurrent
 // use.
@@ -101,7 +105,7 @@
 		return levermsg.Result{Outcome: levermsg.Unreachable, Detail: "connection limit"}
 	}
 	defer up.release(c.vm)
-	if fresh && !sleep(ctx, up.cost+2*way) {
+	if fresh && !clock.Sleep(ctx, up.cost+2*way) {
 		return levermsg.Result{Outcome: levermsg.Expired}
 	}
 	if err := c.fleet.Net.Wait(ctx, host); err != nil {
@@ -111,11 +115,11 @@
 		<-ctx.Done()
 		return ended(ctx)
 	}
-	if !sleep(ctx, way) {
+	if !clock.Sleep(ctx, way) {
 		return ended(ctx)
 	}
 	reply, end := up.model.Do(ctx, it.Shard, newRequest(q, it))
-	back := sleep(ctx, way)
+	back := clock.Sleep(ctx, way)
 	if end == levermodel.Refused {
 		return levermsg.Result{Outcome: levermsg.Unreachable}
 	}
@@ -151,17 +155,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // connect takes an idle connection of the VM, or opens one within the limit.
 func (u *fleetUpstream) connect(vm leverid.VMID) (fresh, ok bool) {
 	u.mu.Lock()
--- a/internal/levertrial/result.go
+++ b/internal/levertrial/result.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -32,17 +33,19 @@
 // on for a second.
 const goodputFrom = 2 * time.Second
 
+// firstSent returns when the earliest of some exchanges was sent. There must be
+// at least one.
+func firstSent(xs []leverhistory.Exchange) time.Time {
+	earlier := func(a, b leverhistory.Exchange) int { return a.Sent.Compare(b.Sent) }
+	return slices.MinFunc(xs, earlier).Sent
+}
+
 // goodput counts the whole answers to requests sent in the steady part.
 func (r *Result) goodput(measured []leverhistory.Exchange) {
 	if len(measured) == 0 {
 		return
 	}
-	first := measured[0].Sent
-	for _, x := range measured {
-		if x.Sent.Before(first) {
-			first = x.Sent
-		}
-	}
+	first := firstSent(measured)
 	for _, x := range measured {
 		if at := x.Sent.Sub(first); at < goodputFrom || at >= span {
 			continue
@@ -89,12 +92,7 @@
 	if c.TriggerEnd == 0 || len(measured) == 0 {
 		return
 	}
-	first := measured[0].Sent
-	for _, x := range measured {
-		if x.Sent.Before(first) {
-			first = x.Sent
-		}
-	}
+	first := firstSent(measured)
 	for _, x := range measured {
 		if x.Answer == nil || !x.Answer.Coverage.Whole() {
 			r.Back = max(r.Back, x.Sent.Sub(first)-c.TriggerEnd)
