--- a/cmd/arbutuslever/main.go
+++ b/cmd/arbutuslever/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"arbutuslever.dev/lever/internal/leversettings"
+	"arbutuslever.dev/lever/platform"
 
 	"github.com/jessevdk/go-flags"
 )
@@ -22,6 +23,10 @@
 }
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == "entry" {
+		mainEntry()
+		return
+	}
 	var o options
 	if _, err := flags.Parse(&o); err != nil {
 		if e, ok := err.(*flags.Error); ok && e.Type == flags.ErrHelp {
@@ -46,6 +51,17 @@
 	}
 }
 
+// mainEntry runs the process on the users' platform.
+func mainEntry() {
+	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		fail(err)
+	}
+	if err := newEntry(s).serve(); err != nil {
+		fail(err)
+	}
+}
+
 func fail(err error) {
 	os.Stderr.WriteString("arbutuslever: " + err.Error() + "\n")
 	os.Exit(1)
--- /dev/null
+++ b/internal/leverengine/engine.go
@@ -0,0 +1,92 @@
+package leverengine
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"arbutuslever.dev/lever/internal/leverbudget"
+	"arbutuslever.dev/lever/internal/leverdirectory"
+	"arbutuslever.dev/lever/internal/leverhealth"
+	"arbutuslever.dev/lever/internal/leverid"
+	"arbutuslever.dev/lever/internal/leverlog"
+	"arbutuslever.dev/lever/internal/leverpool"
+	"arbutuslever.dev/lever/internal/levertimer"
+)
+
+// Engine runs requests. Its exported fields must be set before its first use.
+// It is safe for concurrent use.
+type Engine struct {
+	Domain    leverid.Domain
+	Timer     *levertimer.Service
+	Log       leverlog.Logger
+	Directory *leverdirectory.Directory
+	Health    *leverhealth.Table
+	Budget    *leverbudget.Budget
+	Pool      *leverpool.Pool
+	Protocol  Protocol
+	// VMs returns the number of VMs that share the upstreams' connections.
+	VMs func() int
+	// Current reports whether the directory is up to date, as far as is known.
+	Current func() bool
+
+	splits   splits
+	inFlight atomic.Int64
+}
+
+const (
+	// comeBack is the pause proposed to a caller that was refused.
+	comeBack = 200 * time.Millisecond
+	// connectionPart is the part of an upstream's connections that the VMs
+	// share out; the rest is left to VMs that are not counted yet.
+	connectionPart = 0.9
+	// firstConnections is used while the configuration does not say.
+	firstConnections = 1
+)
+
+// InFlight returns the number of requests that are being run.
+func (e *Engine) InFlight() int { return int(e.inFlight.Load()) }
+
+// Run runs a request until it has an answer or ctx, the caller's, ends.
+func (e *Engine) Run(ctx context.Context, req *Request) *Outcome {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	v := e.Directory.View()
+	if !v.Usable() {
+		return &Outcome{Verdict: NotReady, RetryAfter: comeBack, Reason: "no configuration or no list of upstreams"}
+	}
+	route := v.Config.Route(req.Host, req.Path)
+	if route == nil {
+		return e.noRoute()
+	}
+	f := e.newFanout(req, route)
+	f.log()
+	out := f.run(ctx)
+	f.end(out)
+	return out
+}
+
+// noRoute says that there is no route only if the configuration is up to date.
+func (e *Engine) noRoute() *Outcome {
+	if !e.Current() {
+		return &Outcome{Verdict: NotReady, RetryAfter: comeBack, Reason: "no route, and the configuration may be old"}
+	}
+	return &Outcome{Verdict: NoRoute, Reason: "no route"}
+}
+
+// connections returns this VM's part of the connections to one upstream.
+func (e *Engine) connections(s leverid.ServiceID) int {
+	c := e.Directory.View().Config
+	if c == nil {
+		return firstConnections
+	}
+	n := float64(c.Services[s].MaxConnections) * connectionPart / float64(max(e.VMs(), 1))
+	return max(int(n), firstConnections)
+}
+
+// Changed follows the directory: connections and beliefs of upstreams that are
+// gone are dropped.
+func (e *Engine) Changed(v *leverdirectory.View) {
+	e.Pool.Retain(v.Known)
+	e.Health.Retain(v.Known)
+}
--- /dev/null
+++ b/internal/leverengine/fanout.go
@@ -0,0 +1,286 @@
+package leverengine
+
+import (
+	"context"
+	"time"
+
+	"arbutuslever.dev/lever/internal/leverbudget"
+	"arbutuslever.dev/lever/internal/leverdirectory"
+	"arbutuslever.dev/lever/internal/leverhealth"
+	"arbutuslever.dev/lever/internal/leverid"
+	"arbutuslever.dev/lever/internal/leverpool"
+)
+
+const (
+	// answerMargin is kept back from the objective for the ways between the
+	// caller and this VM.
+	answerMargin = 5 * time.Millisecond
+	// lateFactor is the multiple of the objective after which an answer with
+	// the least coverage is not held for more.
+	lateFactor = 2
+	// againPause is the pause before a part is tried again that has no upstream.
+	againPause = 40 * time.Millisecond
+	// loserGrace is how long an attempt may go on whose request was answered.
+	loserGrace = 400 * time.Millisecond
+	// hedgeLatest is the part of the objective after which hedging begins at
+	// the latest.
+	hedgeLatest = 0.45
+	// refusals is the number of upstreams that may decline before the request
+	// is refused.
+	refusals = 3
+)
+
+// part is the state of one shard of a fan-out, or of the one service of
+// another request.
+type part struct {
+	service leverid.ServiceID
+	done    bool
+	// dead says that no more attempts are allowed.
+	dead      bool
+	signature string
+	reply     *leverpool.Reply
+	tried     []*leverdirectory.Upstream
+	open      int
+	started   time.Time
+	// runs counts the attempts that ran or may still run; arrivals those that
+	// may have reached an upstream; declined those that were not run.
+	runs, arrivals, declined int
+	// again is when the next attempt is due, if there is one.
+	again time.Time
+}
+
+func (p *part) settled() bool { return p.done || p.dead }
+
+// fanout is one request under way. Its methods run on the request's goroutine.
+type fanout struct {
+	engine  *Engine
+	req     *Request
+	route   *leverdirectory.Route
+	class   leverhealth.Class
+	gather  bool
+	parts   []part
+	results chan result
+	// attempts ends with the caller, or some time after the answer.
+	attempts context.Context
+	cancel   context.CancelFunc
+
+	deadline, answerAt, lateAt, hedgeAt time.Time
+	begun                               time.Time
+	hedged, retried                     int
+	ran                                 bool
+	failure                             *leverpool.Reply
+	reason                              string
+}
+
+func (e *Engine) newFanout(req *Request, route *leverdirectory.Route) *fanout {
+	f := &fanout{engine: e, req: req, route: route, class: leverhealth.Class(route.Name), begun: e.Timer.Now()}
+	services := route.Shards
+	f.gather = len(services) > 0
+	if !f.gather {
+		services = []leverid.ServiceID{e.splits.next(route)}
+	}
+	f.parts = make([]part, len(services))
+	for i, s := range services {
+		f.parts[i].service = s
+		e.Budget.Request(s, f.begun)
+	}
+	f.results = make(chan result, len(services)*(max(route.MaxAttempts, 1)+refusals))
+	wait := route.Timeout
+	if req.Wait > 0 && (wait == 0 || req.Wait < wait) {
+		wait = req.Wait
+	}
+	f.deadline = req.Received.Add(wait)
+	f.attempts, f.cancel = context.WithDeadline(context.Background(), f.deadline)
+	f.answerAt = req.Received.Add(route.Objective - answerMargin)
+	f.lateAt = req.Received.Add(lateFactor * route.Objective)
+	f.hedgeAt = f.begun.Add(min(e.Health.SlowAfter(f.class), time.Duration(hedgeLatest*float64(route.Objective))))
+	return f
+}
+
+// run returns when the answer is made, time runs out, or the caller leaves.
+func (f *fanout) run(ctx context.Context) *Outcome {
+	alarm := f.engine.Timer.Alarm()
+	defer alarm.Stop()
+	defer f.finish()
+	for i := range f.parts {
+		f.launch(i, false)
+	}
+	for {
+		now := f.engine.Timer.Now()
+		if out := f.conclude(now); out != nil {
+			return out
+		}
+		alarm.Set(f.nextDue(now))
+		select {
+		case r := <-f.results:
+			f.take(&r)
+		case now := <-alarm.C:
+			f.ring(now)
+		case <-ctx.Done():
+			f.cancel()
+			return &Outcome{Verdict: Left}
+		}
+	}
+}
+
+// finish lets attempts that are still open go on for a while: their answers
+// keep the connections and tell about the upstreams.
+func (f *fanout) finish() {
+	open := 0
+	for i := range f.parts {
+		open += f.parts[i].open
+	}
+	if open == 0 {
+		f.cancel()
+		return
+	}
+	f.engine.Timer.Do(loserGrace, f.cancel)
+}
+
+// nextDue returns when something is to be done without a result.
+func (f *fanout) nextDue(now time.Time) time.Time {
+	at := f.deadline
+	sooner := func(t time.Time) {
+		if t.After(now) && t.Before(at) {
+			at = t
+		}
+	}
+	sooner(f.hedgeAt)
+	if f.gather {
+		sooner(f.answerAt)
+		sooner(f.lateAt)
+	}
+	for i := range f.parts {
+		if p := &f.parts[i]; !p.settled() && !p.again.IsZero() {
+			sooner(p.again)
+		}
+	}
+	return at
+}
+
+// ring does what is due.
+func (f *fanout) ring(now time.Time) {
+	for i := range f.parts {
+		p := &f.parts[i]
+		if p.settled() {
+			continue
+		}
+		if !p.again.IsZero() && !now.Before(p.again) {
+			p.again = time.Time{}
+			f.launch(i, p.arrivals > 0)
+		}
+	}
+	if !now.Before(f.hedgeAt) {
+		f.hedge(now)
+	}
+}
+
+// hedge sends a second attempt beside each one that is unusually slow.
+func (f *fanout) hedge(now time.Time) {
+	f.hedgeAt = f.hedgeAt.Add(f.engine.Health.SlowAfter(f.class))
+	if !f.route.Repeatable {
+		return
+	}
+	for i := range f.parts {
+		p := &f.parts[i]
+		if p.settled() || p.open != 1 || p.runs >= f.route.MaxAttempts {
+			continue
+		}
+		u, expected := f.choose(p, now)
+		if u == nil || !leverhealth.Usable(expected) || !f.engine.Budget.Take(p.service, leverbudget.Hedge, now) {
+			continue
+		}
+		f.hedged++
+		f.send(i, u, now)
+	}
+}
+
+// launch sends an attempt for a part, or plans it for later.
+func (f *fanout) launch(i int, extra bool) {
+	p := &f.parts[i]
+	now := f.engine.Timer.Now()
+	u, _ := f.choose(p, now)
+	if u == nil {
+		p.again = now.Add(againPause)
+		f.reason = "no upstream for " + string(p.service)
+		return
+	}
+	if extra && !f.engine.Budget.Take(p.service, leverbudget.Retry, now) {
+		f.reason = "no budget for a retry at " + string(p.service)
+		p.dead = p.open == 0
+		return
+	}
+	if extra {
+		f.retried++
+	}
+	f.send(i, u, now)
+}
+
+func (f *fanout) send(i int, u *leverdirectory.Upstream, now time.Time) {
+	p := &f.parts[i]
+	a := &attempt{
+		engine: f.engine, req: f.req, class: f.class, part: i, upstream: u, started: now,
+		once: !f.route.Repeatable, deadline: f.deadline, results: f.results,
+	}
+	p.tried = append(p.tried, u)
+	p.open++
+	p.runs++
+	if p.started.IsZero() {
+		p.started = now
+	}
+	f.engine.Health.Begin(u, now)
+	go a.run(f.attempts)
+}
+
+// take takes in the end of an attempt.
+func (f *fanout) take(r *result) {
+	p := &f.parts[r.part]
+	p.open--
+	if r.arrived() {
+		p.arrivals++
+	}
+	if !r.ran() {
+		p.runs--
+		p.declined++
+	}
+	if r.kind == leverhealth.Good && f.counts(r) {
+		if !p.done {
+			p.done, p.dead, p.reply, p.signature = true, false, r.reply, r.mark.Signature
+			f.ran = true
+		}
+		return
+	}
+	if r.ran() {
+		f.ran = true
+	}
+	if p.done {
+		return
+	}
+	if r.kind == leverhealth.Failed {
+		f.failure = r.reply
+	}
+	f.note(r)
+	f.after(r, p)
+}
+
+// counts reports whether a whole answer settles a part. Only a success is a
+// part of a fan-out.
+func (f *fanout) counts(r *result) bool { return !f.gather || r.reply.Status < 300 }
+
+// after decides what follows a failed attempt.
+func (f *fanout) after(r *result, p *part) {
+	once := !f.route.Repeatable
+	switch {
+	case once && r.ran(),
+		p.runs >= f.route.MaxAttempts,
+		!f.gather && p.declined >= refusals,
+		!f.engine.Timer.Now().Before(f.deadline):
+		p.dead = p.open == 0
+	case p.open > 0:
+		// Another attempt is under way.
+	case p.declined >= refusals:
+		p.again = f.engine.Timer.Now().Add(againPause)
+	default:
+		f.launch(r.part, p.arrivals > 0)
+	}
+}
--- /dev/null
+++ b/internal/leverengine/request.go
@@ -0,0 +1,99 @@
+// Package leverengine runs requests: it finds the route, chooses upstreams,
+// fans out, retries and hedges within the fleet's budget, and makes the answer.
+// Requests and answers are opaque to it.
+package leverengine
+
+import (
+	"net/http"
+	"time"
+
+	"arbutuslever.dev/lever/internal/leverid"
+	"arbutuslever.dev/lever/internal/leverpool"
+)
+
+// Request is a caller's request.
+type Request struct {
+	ID     leverid.RequestID
+	Method string
+	Host   string
+	// URI is the path with its query, as it was received. Path is the path.
+	URI, Path string
+	Header    http.Header
+	Body      []byte
+	// Wait is how long the caller waits from Received on, 0 if it did not say.
+	Wait     time.Duration
+	Received time.Time
+}
+
+// Fingerprint identifies the request's content without its id.
+func (r *Request) Fingerprint() leverid.Fingerprint {
+	return leverid.Fingerprint(leverid.Hash(r.Method, r.Host, r.URI, string(r.Body)))
+}
+
+// Verdict says how a request ended.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Passed hands on an upstream's answer.
+	Passed Verdict = iota
+	// Merged is an answer made of several upstreams' records.
+	Merged
+	// NoRoute means that the configuration has no route for the request.
+	NoRoute
+	// NotReady means that this VM can't route now. The request has not run.
+	NotReady
+	// NotRun means that the request has not run and never will.
+	NotRun
+	// MayHaveRun means that the request ended without an answer.
+	MayHaveRun
+	// Late means that time ran out.
+	Late
+	// Left means that the caller went away.
+	Left
+)
+
+var verdictNames = [...]string{"passed", "merged", "no-route", "not-ready", "not-run", "may-have-run", "late", "left"}
+
+// String returns the verdict's name.
+func (v Verdict) String() string { return verdictNames[v] }
+
+// Outcome is the end of a request.
+type Outcome struct {
+	Verdict Verdict
+	// Reply is the answer of an upstream, for Passed.
+	Reply *leverpool.Reply
+	// Records, Signatures and Missing are the answer for Merged: the greatest
+	// records, who signed for the parts that are in, and the number of shards
+	// that are not.
+	Records    []byte
+	Signatures []string
+	Missing    int
+	// RetryAfter is when to come back after NotReady and NotRun.
+	RetryAfter time.Duration
+	// Reason is for the log.
+	Reason string
+}
+
+// Mark is what an upstream says about a call beside the answer itself.
+type Mark struct {
+	// Request is the id that the upstream echoes, empty if it echoes none.
+	Request leverid.RequestID
+	// Signature shows who answered; a success without one is no answer.
+	Signature string
+	// NotRun says that the upstream did not run the request.
+	NotRun bool
+	// Elsewhere says that another upstream than the expected one answered.
+	Elsewhere bool
+	// Encoded says that the body is not as the upstream made it.
+	Encoded bool
+}
+
+// Protocol translates between the engine and an upstream's headers.
+type Protocol interface {
+	// Stamp adds the headers of one call: the time that is left and the
+	// upstream that is meant.
+	Stamp(h http.Header, left time.Duration, expect leverid.UpstreamID)
+	// Read returns what an answer's head says.
+	Read(status int, h http.Header) Mark
+}
--- /dev/null
+++ b/internal/leverfeed/follower.go
@@ -0,0 +1,224 @@
+// Package leverfeed follows collections of objects in the platform's store:
+// it lists them once, then watches for changes, through outages and lost
+// history.
+package leverfeed
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"arbutuslever.dev/lever/internal/leverlog"
+	"arbutuslever.dev/lever/internal/levertimer"
+
+	"github.com/juju/errors"
+)
+
+// Revision numbers the store's changes.
+type Revision uint64
+
+// ErrHistoryLost means that the changes since the given revision can't be had
+// any more. The collection must be listed anew.
+const ErrHistoryLost = errors.ConstError("the store's history is gone")
+
+// Item is one object, or the news that it is gone.
+type Item[T any] struct {
+	Name  string
+	Value T
+	Gone  bool
+}
+
+// Batch is the answer of a list or a watch.
+type Batch[T any] struct {
+	// Revision is what the next watch starts from.
+	Revision Revision
+	Items    []Item[T]
+}
+
+// Source reads one collection.
+type Source[T any] interface {
+	// List returns all objects.
+	List(ctx context.Context) (Batch[T], error)
+	// Watch waits up to wait for changes after since. The error is
+	// ErrHistoryLost or one of the store.
+	Watch(ctx context.Context, since Revision, wait time.Duration) (Batch[T], error)
+}
+
+const (
+	// watchWait is how long the store holds a watch without news.
+	watchWait = 20 * time.Second
+	// watchGrace is how much longer than its wait a watch may take.
+	watchGrace = 2 * time.Second
+	// listTimeout bounds the reading of a whole collection.
+	listTimeout = 3 * time.Second
+	// firstPause and longestPause bound the pauses between failed calls.
+	firstPause   = 150 * time.Millisecond
+	longestPause = time.Second
+	// pauseJitter spreads the calls of several VMs.
+	pauseJitter = 0.3
+)
+
+// Follower keeps a copy of one collection. Its exported fields must be set
+// before Run. It is safe for concurrent use.
+type Follower[T any] struct {
+	// Name names the collection in the log.
+	Name   string
+	Source Source[T]
+	Timer  *levertimer.Service
+	Log    leverlog.Logger
+	// Pace is the least time between two watches: changes that come close
+	// together then cost one call.
+	Pace time.Duration
+	// Hold is how long an object that is missing after an outage is kept: its
+	// owner may bring it back.
+	Hold time.Duration
+	// Apply takes in the collection after each change.
+	Apply func(items map[string]T)
+
+	mu    sync.Mutex
+	lost  bool
+	known bool
+
+	items     map[string]T
+	missing   map[string]bool
+	recovered time.Time
+	revision  Revision
+	pause     time.Duration
+}
+
+// Current reports whether the collection was read and the last call of the
+// store went well.
+func (f *Follower[T]) Current() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known && !f.lost
+}
+
+// Run follows the collection until ctx ends.
+func (f *Follower[T]) Run(ctx context.Context) {
+	f.items = make(map[string]T)
+	f.missing = make(map[string]bool)
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if listed {
+			err = f.watch(ctx)
+		} else {
+			err = f.list(ctx)
+		}
+		switch {
+		case errors.Is(err, ErrHistoryLost):
+			f.Log.Warn("the history is lost; the collection is listed anew", "collection", f.Name, "since", f.revision)
+			listed = false
+		case err != nil:
+			f.failed(ctx, err)
+		default:
+			listed = true
+			f.well()
+			f.Timer.Sleep(ctx, f.Pace)
+		}
+	}
+}
+
+func (f *Follower[T]) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	b, err := f.Source.List(ctx)
+	if err != nil {
+		return err
+	}
+	present := make(map[string]bool, len(b.Items))
+	for _, it := range b.Items {
+		present[it.Name] = true
+		f.set(it)
+	}
+	for name := range f.items {
+		if !present[name] {
+			f.remove(name)
+		}
+	}
+	f.revision = b.Revision
+	f.apply()
+	return nil
+}
+
+func (f *Follower[T]) watch(ctx context.Context) error {
+	wait := watchWait
+	if len(f.missing) > 0 {
+		wait = max(f.holdEnd().Sub(f.Timer.Now()), time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchGrace)
+	defer cancel()
+	b, err := f.Source.Watch(ctx, f.revision, wait)
+	if err != nil {
+		return err
+	}
+	for _, it := range b.Items {
+		if it.Gone {
+			f.remove(it.Name)
+		} else {
+			f.set(it)
+		}
+	}
+	f.revision = b.Revision
+	if f.dropMissing() || len(b.Items) > 0 {
+		f.apply()
+	}
+	return nil
+}
+
+func (f *Follower[T]) set(it Item[T]) {
+	f.items[it.Name] = it.Value
+	delete(f.missing, it.Name)
+}
+
+// remove drops an object, or marks it as missing while the store has just come
+// back.
+func (f *Follower[T]) remove(name string) {
+	if f.Timer.Now().Before(f.holdEnd()) {
+		f.missing[name] = true
+		return
+	}
+	delete(f.items, name)
+	delete(f.missing, name)
+}
+
+func (f *Follower[T]) holdEnd() time.Time { return f.recovered.Add(f.Hold) }
+
+// dropMissing drops what has not come back.
+func (f *Follower[T]) dropMissing() bool {
+	if len(f.missing) == 0 || f.Timer.Now().Before(f.holdEnd()) {
+		return false
+	}
+	for name := range f.missing {
+		delete(f.items, name)
+	}
+	f.Log.Info("missing objects did not come back", "collection", f.Name, "count", len(f.missing))
+	clear(f.missing)
+	return true
+}
+
+func (f *Follower[T]) apply() { f.Apply(f.items) }
+
+func (f *Follower[T]) failed(ctx context.Context, err error) {
+	f.mu.Lock()
+	first := !f.lost
+	f.lost = true
+	f.mu.Unlock()
+	f.pause = min(max(2*f.pause, firstPause), longestPause)
+	if first {
+		f.Log.Warn("the store is lost", "collection", f.Name, "revision", f.revision, "err", err)
+	}
+	f.Timer.Sleep(ctx, f.Timer.Jitter(f.pause, pauseJitter))
+}
+
+func (f *Follower[T]) well() {
+	f.mu.Lock()
+	back := f.lost
+	f.lost, f.known = false, true
+	f.mu.Unlock()
+	f.pause = 0
+	if back {
+		f.Log.Info("the store is back", "collection", f.Name, "revision", f.revision)
+	}
+}
--- /dev/null
+++ b/internal/levermerge/top.go
@@ -0,0 +1,30 @@
+package levermerge
+
+import (
+	"bytes"
+	"slices"
+)
+
+// Top collects the greatest records of a fixed size, compared byte by byte.
+// Equal records all count. It is not safe for concurrent use.
+type Top struct {
+	// Size is the size of a record in bytes.
+	Size int
+	// Limit is the number of records to keep.
+	Limit   int
+	records [][]byte
+}
+
+// Add takes in the records of one part, in any order. A rest that is shorter
+// than a record is none.
+func (t *Top) Add(b []byte) {
+	for ; len(b) >= t.Size; b = b[t.Size:] {
+		t.records = append(t.records, b[:t.Size])
+	}
+}
+
+// Bytes returns the greatest records, the greatest first.
+func (t *Top) Bytes() []byte {
+	slices.SortFunc(t.records, func(a, b []byte) int { return bytes.Compare(b, a) })
+	return bytes.Join(t.records[:min(t.Limit, len(t.records))], nil)
+}
--- a/internal/levertimer/timer.go
+++ b/internal/levertimer/timer.go
@@ -106,3 +106,12 @@
 func Gap(since, now time.Time, period time.Duration) time.Duration {
 	return max(now.Sub(since)-period, 0)
 }
+
+// Do calls f on a goroutine of its own, d from now.
+func (s *Service) Do(d time.Duration, f func()) {
+	s.add(1)
+	time.AfterFunc(d, func() {
+		s.add(-1)
+		f()
+	})
+}
