internal/leverfeed: find a watch that hears nothing within 1.5 s

Ruled out: the list after the 410 (it took 12 ms) and pacing (300 ms). Change: the configuration's watch ends after 1.5 s, and a lost history has the other collections listed anew.

--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -37,6 +37,10 @@
 	unknownVMs = 10
 	// feedPace is the pause between two watches.
 	feedPace = 300 * time.Millisecond
+	// configWait bounds a watch of the configuration. When the store drops its
+	// history, a watch may hear nothing until it ends; this one finds out, well
+	// within the 3 s in which a change is due, and has the others listed anew.
+	configWait = 1500 * time.Millisecond
 	// lapseHold is how long the entries of upstreams that are missing after an
 	// outage are kept; they are back within about two seconds.
 	lapseHold = 2500 * time.Millisecond
@@ -87,7 +91,11 @@
 		},
 	}
 	e.configs = &leverfeed.Follower[*leverdirectory.Config]{
-		Name: "configuration", Source: e.store.Configs(), Timer: e.timer, Log: feedLog, Pace: feedPace,
+		Name: "configuration", Source: e.store.Configs(), Timer: e.timer, Log: feedLog, Pace: feedPace, Wait: configWait,
+		OnLost: func() {
+			e.servers.Relist()
+			e.vms.Relist()
+		},
 		Apply: func(items map[string]*leverdirectory.Config) {
 			for _, c := range items {
 				if directory.SetConfig(c) {
--- a/internal/leverfeed/follower.go
+++ b/internal/leverfeed/follower.go
@@ -45,7 +45,8 @@
 }
 
 const (
-	// watchWait is how long the store holds a watch without news.
+	// watchWait is how long the store holds a watch without news, unless the
+	// follower says otherwise.
 	watchWait = 20 * time.Second
 	// watchGrace is how much longer than its wait a watch may take.
 	watchGrace = 2 * time.Second
@@ -72,12 +73,21 @@
 	// Hold is how long an object that is missing after an outage is kept: its
 	// owner may bring it back.
 	Hold time.Duration
+	// Wait bounds how long one watch is held by the store.
+	Wait time.Duration
 	// Apply takes in the collection after each change.
 	Apply func(items map[string]T)
+	// OnLost, if set, is called when the store has dropped the history. Other
+	// followers' watches may then hear nothing either.
+	OnLost func()
 
 	mu    sync.Mutex
 	lost  bool
 	known bool
+	// relist asks for a list before the next watch; cancel ends the present
+	// watch.
+	relist bool
+	cancel context.CancelFunc
 
 	items     map[string]T
 	missing   map[string]bool
@@ -98,31 +108,75 @@
 func (f *Follower[T]) Run(ctx context.Context) {
 	f.items = make(map[string]T)
 	f.missing = make(map[string]bool)
-	listed := false
+	f.relist = true
 	for ctx.Err() == nil {
-		var err error
-		if listed {
-			err = f.watch(ctx)
-		} else {
-			err = f.list(ctx)
-		}
-		switch {
-		case errors.Is(err, ErrHistoryLost):
-			f.Log.Warn("the history is lost; the collection is listed anew", "collection", f.Name, "since", f.revision)
-			listed = false
-		case err != nil:
-			f.failed(ctx, err)
-		default:
-			listed = true
-			f.well()
-			f.Timer.Sleep(ctx, f.Pace)
+		f.step(ctx)
+	}
+}
+
+// step makes one call of the store.
+func (f *Follower[T]) step(ctx context.Context) {
+	call, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var err error
+	if f.begin(cancel) {
+		err = f.list(call)
+	} else {
+		err = f.watch(call)
+	}
+	switch {
+	case errors.Is(err, ErrHistoryLost):
+		f.Log.Warn("the history is lost; the collection is listed anew", "collection", f.Name, "since", f.revision)
+		f.Relist()
+		if f.OnLost != nil {
+			f.OnLost()
 		}
+	case err != nil && call.Err() != nil:
+		// Relist ended the watch.
+	case err != nil:
+		f.failed(ctx, err)
+	default:
+		f.well()
+		f.Timer.Sleep(ctx, f.Pace)
+	}
+}
+
+// begin reports whether the next call is a list.
+func (f *Follower[T]) begin(cancel context.CancelFunc) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancel = cancel
+	return f.relist
+}
+
+// Relist has the collection listed anew at once.
+func (f *Follower[T]) Relist() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.relist = true
+	if f.cancel != nil {
+		f.cancel()
 	}
 }
 
 func (f *Follower[T]) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	f.mu.Lock()
+	// A call of Relist that comes from here on asks for one more list.
+	f.relist = false
+	f.mu.Unlock()
+	err := f.read(ctx)
+	if err != nil {
+		f.mu.Lock()
+		f.relist = true
+		f.mu.Unlock()
+	}
+	return err
+}
+
+// read lists the collection and takes it in.
+func (f *Follower[T]) read(ctx context.Context) error {
 	b, err := f.Source.List(ctx)
 	if err != nil {
 		return err
@@ -144,6 +198,9 @@
 
 func (f *Follower[T]) watch(ctx context.Context) error {
 	wait := watchWait
+	if f.Wait > 0 {
+		wait = f.Wait
+	}
 	if len(f.missing) > 0 {
 		wait = max(f.holdEnd().Sub(f.Timer.Now()), time.Millisecond)
 	}
