internal/leverrelay, internal/leverdelegate: few VMs watch the store and run fan-outs

Change: one VM watches and two stand by, a tree of peers carries the changes; in fleets of 12 VMs or more the most powerful VMs of each failure domain run the fan-outs. Ruled out: processor time (0.007 of a core at most).

--- a/internal/leverbudget/budget.go
+++ b/internal/leverbudget/budget.go
@@ -51,7 +51,7 @@
 	Terms Terms
 
 	mu      sync.Mutex
-	vms     int
+	share   float64
 	began   time.Time
 	windows map[leverid.ServiceID]*window
 }
@@ -61,11 +61,11 @@
 	last            int64
 }
 
-// SetVMs says how many VMs share the slack.
-func (b *Budget) SetVMs(n int) {
+// SetShare says which part of the slack is this VM's.
+func (b *Budget) SetShare(part float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.vms = n
+	b.share = part
 }
 
 // Request counts a request for a service.
@@ -95,14 +95,11 @@
 // slack is this VM's share. It grows over the first window of the process: the
 // process that ran here before may have spent it.
 func (b *Budget) slack(now time.Time) float64 {
-	if b.vms == 0 {
-		return 0
-	}
 	if b.began.IsZero() {
 		b.began = now
 	}
 	grown := min(float64(now.Sub(b.began))/float64(b.Terms.Window), 1)
-	return b.Terms.Slack * spend * grown / float64(b.vms)
+	return b.Terms.Slack * spend * grown * b.share
 }
 
 func (b *Budget) at(s leverid.ServiceID, now time.Time) (*window, int) {
--- /dev/null
+++ b/internal/leverdelegate/delegate.go
@@ -0,0 +1,296 @@
+// Package leverdelegate has fan-outs run on few VMs of a large fleet. A VM with
+// little traffic has cold connections and knows little of the upstreams; the
+// VMs that run the fan-outs for their failure domain have neither lack.
+package leverdelegate
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"arbutuslever.dev/lever/internal/leverengine"
+	"arbutuslever.dev/lever/internal/leverid"
+	"arbutuslever.dev/lever/internal/leverlog"
+	"arbutuslever.dev/lever/internal/levermember"
+	"arbutuslever.dev/lever/internal/levermsg"
+	"arbutuslever.dev/lever/internal/leverpeer"
+	"arbutuslever.dev/lever/internal/leverpool"
+	"arbutuslever.dev/lever/internal/leverrelay"
+	"arbutuslever.dev/lever/internal/levertimer"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// leastFleet is the number of VMs from which on fan-outs are delegated. In
+	// a smaller fleet each VM has enough traffic of its own.
+	leastFleet = 12
+	// runnerPart is the part of a failure domain's processors whose VMs run
+	// the fan-outs, and leastRunners the least number of those VMs.
+	runnerPart   = 0.12
+	leastRunners = 2
+	// takenTimeout is how long a runner may take to say that it runs the
+	// request; it is several times the longest way between failure domains.
+	takenTimeout = 25 * time.Millisecond
+	// doubt is how long a runner is passed over that did not say so.
+	doubt = 500 * time.Millisecond
+	// wayBack is kept back for the way from the runner to this VM.
+	wayBack = 2 * time.Millisecond
+	// mostRuns bounds the fan-outs that a VM runs for others, for each core.
+	mostRuns = 256
+)
+
+// run is a request as it goes to a runner.
+type run struct {
+	// Version is the configuration that the sender works by.
+	Version leverid.ConfigVersion `msgpack:"v"`
+	ID      leverid.RequestID     `msgpack:"i"`
+	Method  string                `msgpack:"m"`
+	Host    string                `msgpack:"h"`
+	URI     string                `msgpack:"u"`
+	Path    string                `msgpack:"p"`
+	Header  http.Header           `msgpack:"e"`
+	Body    []byte                `msgpack:"b"`
+	// Wait is how long the caller waits in all, Age how long it has waited.
+	Wait time.Duration `msgpack:"w"`
+	Age  time.Duration `msgpack:"a"`
+}
+
+// reply is what a runner says: first whether it runs the request, then the
+// outcome.
+type reply struct {
+	Declined   string              `msgpack:"d,omitempty"`
+	Verdict    leverengine.Verdict `msgpack:"v"`
+	Upstream   *leverpool.Reply    `msgpack:"u,omitempty"`
+	Records    []byte              `msgpack:"r,omitempty"`
+	Signatures []string            `msgpack:"s,omitempty"`
+	Missing    int                 `msgpack:"m,omitempty"`
+	RetryAfter time.Duration       `msgpack:"t,omitempty"`
+	Reason     string              `msgpack:"o,omitempty"`
+}
+
+// Delegate sends fan-outs to the VMs that run them, and runs those of others.
+// Its exported fields must be set before its first use. It is safe for
+// concurrent use.
+type Delegate struct {
+	Self    levermsg.VM
+	Members *levermember.View
+	Peers   *leverpeer.Client
+	Engine  *leverengine.Engine
+	Timer   *levertimer.Service
+	Log     leverlog.Logger
+	// Stopping reports whether this VM takes no more requests of others.
+	Stopping func() bool
+
+	mu       sync.Mutex
+	live     []levermsg.VM
+	runners  []levermsg.VM
+	doubted  map[leverid.VMID]time.Time
+	next     uint64
+	running  int
+	isRunner bool
+}
+
+// Runs reports whether this VM runs fan-outs itself.
+func (d *Delegate) Runs() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refresh()
+	return len(d.runners) == 0 || d.isRunner
+}
+
+// Share returns the VMs that share the fan-outs' upstreams, this one's part of
+// them: the runners have most.
+func (d *Delegate) Share() float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refresh()
+	n := float64(max(len(d.live), 1))
+	if len(d.runners) == 0 {
+		return 1 / n
+	}
+	domains := make(map[leverid.Domain]bool)
+	for _, vm := range d.live {
+		domains[vm.Domain] = true
+	}
+	all := float64(len(d.runners) * len(domains))
+	if d.isRunner {
+		return runnersShare / all
+	}
+	return (1 - runnersShare) / max(n-all, 1)
+}
+
+// runnersShare is the part of the upstreams' connections and of the slack that
+// the runners have together.
+const runnersShare = 0.75
+
+// refresh works the runners out anew when the list of live VMs has changed.
+func (d *Delegate) refresh() {
+	live := d.Members.Live(d.Timer.Now())
+	if len(live) == len(d.live) && (len(live) == 0 || &live[0] == &d.live[0]) {
+		return
+	}
+	d.live = live
+	d.runners = nil
+	d.isRunner = false
+	if len(live) < leastFleet {
+		return
+	}
+	d.runners = runnersOf(live, d.Self.Domain)
+	d.isRunner = slices.ContainsFunc(d.runners, func(vm levermsg.VM) bool { return vm.ID == d.Self.ID })
+}
+
+// runnersOf returns the VMs that run the fan-outs of a failure domain: the most
+// powerful ones.
+func runnersOf(live []levermsg.VM, domain leverid.Domain) []levermsg.VM {
+	ranked := slices.DeleteFunc(leverrelay.Ranked(live), func(vm levermsg.VM) bool { return vm.Domain != domain })
+	total := 0.0
+	for _, vm := range ranked {
+		total += vm.Power
+	}
+	sum := 0.0
+	for i, vm := range ranked {
+		if i >= leastRunners && sum >= runnerPart*total {
+			return ranked[:i]
+		}
+		sum += vm.Power
+	}
+	return ranked
+}
+
+// Run has a request run by another VM. It returns false if the request is to
+// be run here.
+func (d *Delegate) Run(ctx context.Context, req *leverengine.Request, v leverid.ConfigVersion) (*leverengine.Outcome, bool) {
+	for _, vm := range d.candidates() {
+		out, err := d.ask(ctx, vm, req, v)
+		if err == nil {
+			return out, true
+		}
+		if ctx.Err() != nil {
+			return &leverengine.Outcome{Verdict: leverengine.Left}, true
+		}
+		d.Log.Info("a runner did not run a request", "id", req.ID, "runner", vm.ID, "err", err)
+	}
+	return nil, false
+}
+
+// candidates returns up to two runners to try, or none if this VM runs the
+// request.
+func (d *Delegate) candidates() []levermsg.VM {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refresh()
+	if d.isRunner {
+		return nil
+	}
+	now := d.Timer.Now()
+	var out []levermsg.VM
+	d.next++
+	for i := range d.runners {
+		vm := d.runners[(int(d.next%uint64(len(d.runners)))+i)%len(d.runners)]
+		if now.After(d.doubted[vm.ID]) {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+func (d *Delegate) ask(ctx context.Context, vm levermsg.VM, req *leverengine.Request, v leverid.ConfigVersion) (*leverengine.Outcome, error) {
+	taking, cancel := context.WithTimeout(ctx, takenTimeout)
+	defer cancel()
+	call, err := d.Peers.Call(taking, vm, leverpeer.KindRun, &run{
+		Version: v, ID: req.ID, Method: req.Method, Host: req.Host, URI: req.URI, Path: req.Path,
+		Header: req.Header, Body: req.Body, Wait: req.Wait, Age: d.Timer.Now().Sub(req.Received) + wayBack,
+	})
+	if err != nil {
+		d.doubt(vm.ID)
+		return nil, err
+	}
+	defer call.Close()
+	r, err := next(taking, call)
+	if err != nil {
+		d.doubt(vm.ID)
+		return nil, err
+	}
+	if r.Declined != "" {
+		return nil, errors.Errorf("declined: %s", r.Declined)
+	}
+	if r, err = next(ctx, call); err != nil {
+		d.doubt(vm.ID)
+		return nil, err
+	}
+	return &leverengine.Outcome{
+		Verdict: r.Verdict, Reply: r.Upstream, Records: r.Records, Signatures: r.Signatures,
+		Missing: r.Missing, RetryAfter: r.RetryAfter, Reason: r.Reason,
+	}, nil
+}
+
+func next(ctx context.Context, call *leverpeer.Call) (*reply, error) {
+	body, _, err := call.Next(ctx)
+	if err != nil {
+		return nil, err
+	}
+	r := &reply{}
+	return r, leverpeer.Decode(body, r)
+}
+
+func (d *Delegate) doubt(id leverid.VMID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.doubted == nil {
+		d.doubted = make(map[leverid.VMID]time.Time)
+	}
+	d.doubted[id] = d.Timer.Now().Add(doubt)
+}
+
+// Serve runs a request of another VM.
+func (d *Delegate) Serve(req *leverpeer.Request) error {
+	var m run
+	if err := req.Decode(&m); err != nil {
+		return err
+	}
+	if why := d.begin(m.Version); why != "" {
+		return req.Reply(&reply{Declined: why}, true)
+	}
+	defer d.end()
+	if err := req.Reply(&reply{}, false); err != nil {
+		return err
+	}
+	out := d.Engine.RunHere(req.Ctx, &leverengine.Request{
+		ID: m.ID, Method: m.Method, Host: m.Host, URI: m.URI, Path: m.Path, Header: m.Header, Body: m.Body,
+		Wait: m.Wait, Received: d.Timer.Now().Add(-m.Age),
+	})
+	return req.Reply(&reply{
+		Verdict: out.Verdict, Upstream: out.Reply, Records: out.Records, Signatures: out.Signatures,
+		Missing: out.Missing, RetryAfter: out.RetryAfter, Reason: out.Reason,
+	}, true)
+}
+
+// begin says why a request of another VM is not run here, if it is not. The
+// two VMs must work by one configuration.
+func (d *Delegate) begin(v leverid.ConfigVersion) string {
+	view := d.Engine.Directory.View()
+	switch {
+	case d.Stopping():
+		return "stopping"
+	case !view.Usable():
+		return "not ready"
+	case view.Config.Version != v:
+		return "another configuration"
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if float64(d.running) >= mostRuns*d.Self.Power {
+		return "busy"
+	}
+	d.running++
+	return ""
+}
+
+func (d *Delegate) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running--
+}
--- a/internal/leverdirectory/config.go
+++ b/internal/leverdirectory/config.go
@@ -70,20 +70,28 @@
 	Limits   Limits
 
 	byHost map[string][]*Route
+	shards map[leverid.ServiceID]bool
 }
 
 // index sorts the routes of each host, the longest prefix first.
 func (c *Config) index() {
 	c.byHost = make(map[string][]*Route)
+	c.shards = make(map[leverid.ServiceID]bool)
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
+		for _, s := range r.Shards {
+			c.shards[s] = true
+		}
 	}
 	for _, routes := range c.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 }
 
+// IsShard reports whether a service is a shard of some fan-out.
+func (c *Config) IsShard(s leverid.ServiceID) bool { return c.shards[s] }
+
 // Route returns the route for a host and a path, or nil.
 func (c *Config) Route(host, path string) *Route {
 	for _, r := range c.byHost[host] {
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -25,15 +25,24 @@
 	Budget    *leverbudget.Budget
 	Pool      *leverpool.Pool
 	Protocol  Protocol
-	// VMs returns the number of VMs that share the upstreams' connections.
-	VMs func() int
+	// Shares returns this VM's part of the upstreams' connections, of services
+	// that are shards of fan-outs and of others.
+	Shares func() (fanout, other float64)
 	// Current reports whether the directory is up to date, as far as is known.
 	Current func() bool
+	// Delegate, if set, may have fan-outs run by other VMs.
+	Delegate Delegate
 
 	splits   splits
 	inFlight atomic.Int64
 }
 
+// Delegate has requests run by other VMs.
+type Delegate interface {
+	// Run returns false if the request is to be run here.
+	Run(ctx context.Context, req *Request, v leverid.ConfigVersion) (*Outcome, bool)
+}
+
 const (
 	// comeBack is the pause proposed to a caller that was refused.
 	comeBack = 200 * time.Millisecond
@@ -49,6 +58,15 @@
 
 // Run runs a request until it has an answer or ctx, the caller's, ends.
 func (e *Engine) Run(ctx context.Context, req *Request) *Outcome {
+	return e.start(ctx, req, e.Delegate)
+}
+
+// RunHere runs a request of another VM.
+func (e *Engine) RunHere(ctx context.Context, req *Request) *Outcome {
+	return e.start(ctx, req, nil)
+}
+
+func (e *Engine) start(ctx context.Context, req *Request, d Delegate) *Outcome {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	v := e.Directory.View()
@@ -59,8 +77,12 @@
 	if route == nil {
 		return e.noRoute()
 	}
+	if d != nil && len(route.Shards) > 0 {
+		if out, ok := d.Run(ctx, req, v.Config.Version); ok {
+			return out
+		}
+	}
 	f := e.newFanout(req, route)
-	f.log()
 	out := f.run(ctx)
 	f.end(out)
 	return out
@@ -80,7 +102,11 @@
 	if c == nil {
 		return firstConnections
 	}
-	n := float64(c.Services[s].MaxConnections) * connectionPart / float64(max(e.VMs(), 1))
+	fanout, share := e.Shares()
+	if c.IsShard(s) {
+		share = fanout
+	}
+	n := float64(c.Services[s].MaxConnections) * connectionPart * share
 	return max(int(n), firstConnections)
 }
 
--- a/internal/leverengine/story.go
+++ b/internal/leverengine/story.go
@@ -12,8 +12,6 @@
 	leverhealth.GivenUp: "given-up",
 }
 
-func (f *fanout) log() {}
-
 // note logs a failed attempt.
 func (f *fanout) note(r *result) {
 	f.reason = resultNames[r.kind] + " by " + string(r.upstream.ID)
--- a/internal/leverfeed/follower.go
+++ b/internal/leverfeed/follower.go
@@ -4,6 +4,7 @@
 package leverfeed
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -73,10 +74,12 @@
 	// Hold is how long an object that is missing after an outage is kept: its
 	// owner may bring it back.
 	Hold time.Duration
-	// Wait bounds how long one watch is held by the store.
-	Wait time.Duration
-	// Apply takes in the collection after each change.
-	Apply func(items map[string]T)
+	// Wait bounds how long one watch is held by the store, and Grace how much
+	// longer it may take.
+	Wait, Grace time.Duration
+	// Apply takes in the collection after each change, and the revision up to
+	// which it is known. It must not keep the map.
+	Apply func(items map[string]T, rev Revision)
 	// OnLost, if set, is called when the store has dropped the history. Other
 	// followers' watches may then hear nothing either.
 	OnLost func()
@@ -106,8 +109,11 @@
 
 // Run follows the collection until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
-	f.items = make(map[string]T)
-	f.missing = make(map[string]bool)
+	if f.items == nil {
+		f.items = make(map[string]T)
+		f.missing = make(map[string]bool)
+	}
+	defer f.setLost()
 	f.relist = true
 	for ctx.Err() == nil {
 		f.step(ctx)
@@ -204,7 +210,7 @@
 	if len(f.missing) > 0 {
 		wait = max(f.holdEnd().Sub(f.Timer.Now()), time.Millisecond)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+watchGrace)
+	ctx, cancel := context.WithTimeout(ctx, wait+cmp.Or(f.Grace, watchGrace))
 	defer cancel()
 	b, err := f.Source.Watch(ctx, f.revision, wait)
 	if err != nil {
@@ -255,13 +261,19 @@
 	return true
 }
 
-func (f *Follower[T]) apply() { f.Apply(f.items) }
+func (f *Follower[T]) apply() { f.Apply(f.items, f.revision) }
 
-func (f *Follower[T]) failed(ctx context.Context, err error) {
+// setLost notes that the store is not in touch. It reports whether it was.
+func (f *Follower[T]) setLost() bool {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	first := !f.lost
 	f.lost = true
-	f.mu.Unlock()
+	return first
+}
+
+func (f *Follower[T]) failed(ctx context.Context, err error) {
+	first := f.setLost()
 	f.pause = min(max(2*f.pause, firstPause), longestPause)
 	if first {
 		f.Log.Warn("the store is lost", "collection", f.Name, "revision", f.revision, "err", err)
--- a/internal/levermsg/vm.go
+++ b/internal/levermsg/vm.go
@@ -20,4 +20,6 @@
 	Peer   string  `json:"peer-address" msgpack:"p"`
 	Caller string  `json:"caller-address" msgpack:"c"`
 	State  VMState `json:"state" msgpack:"s"`
+	// Power is the VM's processor in cores.
+	Power float64 `json:"power,omitempty" msgpack:"w,omitempty"`
 }
--- /dev/null
+++ b/internal/levernode/peers.go
@@ -0,0 +1,60 @@
+package levernode
+
+import (
+	"arbutuslever.dev/lever/internal/leverid"
+	"arbutuslever.dev/lever/internal/levermsg"
+	"arbutuslever.dev/lever/internal/leverpeer"
+
+	"github.com/juju/errors"
+)
+
+// hooks learns from the frames that pass between VMs.
+type hooks struct{ node *Node }
+
+// Say returns what goes with a frame to send.
+func (h *hooks) Say() leverpeer.Remark {
+	r := leverpeer.Remark{Stamp: h.node.events.Stamp(), Leaving: h.node.stopping.Load()}
+	if c := h.node.engine.Directory.View().Config; c != nil {
+		r.Config = c.Version
+	}
+	return r
+}
+
+// Heard takes in what a peer's frame said.
+func (h *hooks) Heard(vm levermsg.VM, r leverpeer.Remark) {
+	n := h.node
+	now := n.timer.Now()
+	n.events.Observe(r.Stamp)
+	n.members.Met(vm, now)
+	if n.members.Answered(vm.ID) {
+		n.log.Info("a peer answers again", "peer", vm.ID)
+	}
+	if !r.Leaving {
+		n.members.Stays(vm.ID)
+	} else if n.members.Left(vm.ID, now) {
+		n.log.Info("a peer is leaving", "peer", vm.ID)
+	}
+}
+
+// Down takes in that a peer does not answer.
+func (h *hooks) Down(id leverid.VMID, reason error) {
+	if h.node.members.Failed(id, h.node.timer.Now()) {
+		h.node.log.Warn("a peer is down", "peer", id, "err", reason)
+	}
+}
+
+// dispatcher serves the peers' requests.
+type dispatcher struct{ node *Node }
+
+// Serve serves one request.
+func (d *dispatcher) Serve(r *leverpeer.Request) error {
+	switch r.Kind {
+	case leverpeer.KindFollow:
+		return d.node.relay.Serve(r)
+	case leverpeer.KindRun:
+		return d.node.delegate.Serve(r)
+	case leverpeer.KindPing:
+		return r.Reply(nil, true)
+	}
+	return errors.NotSupportedf("request of kind %d", r.Kind)
+}
--- a/internal/leverpeer/client.go
+++ b/internal/leverpeer/client.go
@@ -22,7 +22,7 @@
 	// watchPeriod is how often a connection with calls in flight is checked.
 	watchPeriod = 50 * time.Millisecond
 	// quietTime is how long such a connection may be silent before a ping,
-	// and deadTime before it is given up.
+	// and deadTime before it is given up, unless the client says otherwise.
 	quietTime = 100 * time.Millisecond
 	deadTime  = 400 * time.Millisecond
 	// unusedTime is after how long without calls a connection is closed.
@@ -41,6 +41,9 @@
 	Counters *leverevent.Counters
 	// TLS is used for connections if it is not nil.
 	TLS *tls.Config
+	// Quiet and Dead replace the times after which a silent connection with
+	// calls in flight is asked, and given up.
+	Quiet, Dead time.Duration
 	// Dial replaces the TCP dialer in tests.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
--- a/internal/leverpeer/conn.go
+++ b/internal/leverpeer/conn.go
@@ -1,6 +1,7 @@
 package leverpeer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -85,7 +86,8 @@
 	if err := l.readNow(opWelcome, &w); err != nil {
 		return err
 	}
-	if w.VM.ID != c.vm.ID {
+	// A VM that is known by its address only may have any name.
+	if w.VM.ID != c.vm.ID && string(c.vm.ID) != c.vm.Peer {
 		return errors.Errorf("address of VM %q answered as %q", c.vm.ID, w.VM.ID)
 	}
 	l.peer = w.VM
@@ -212,11 +214,11 @@
 		return
 	}
 	quiet := time.Duration(now.UnixNano() - c.link.heard.Load())
-	if quiet > deadTime {
+	if quiet > cmp.Or(c.client.Dead, deadTime) {
 		c.link.close()
 		return
 	}
-	if quiet > quietTime {
+	if quiet > cmp.Or(c.client.Quiet, quietTime) {
 		// A failed send has closed the link.
 		_ = c.link.send(&Frame{Op: opPing})
 	}
--- a/internal/leverpeer/frame.go
+++ b/internal/leverpeer/frame.go
@@ -46,6 +46,9 @@
 	KindCrash
 	KindStatus
 	KindLeave
+	KindFollow
+	KindRun
+	KindPing
 	KindEnd
 )
 
--- /dev/null
+++ b/internal/leverrelay/relay.go
@@ -0,0 +1,291 @@
+package leverrelay
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"arbutuslever.dev/lever/internal/leverid"
+	"arbutuslever.dev/lever/internal/leverlog"
+	"arbutuslever.dev/lever/internal/levermember"
+	"arbutuslever.dev/lever/internal/levermsg"
+	"arbutuslever.dev/lever/internal/leverpeer"
+	"arbutuslever.dev/lever/internal/levertimer"
+)
+
+const (
+	// watchers is the number of VMs that watch the store for all: the first of
+	// them does, the others as soon as it is not current.
+	watchers = 3
+	// fan is the most children of one VM in the tree.
+	fan = 32
+	// tick is how often a VM looks whether it should watch the store itself.
+	tick = 150 * time.Millisecond
+	// orphanPatience is how long a VM without a current parent waits before it
+	// asks the store itself, plus a random part of orphanSpread.
+	orphanPatience = 500 * time.Millisecond
+	orphanSpread   = 1500 * time.Millisecond
+	// bootPatience is how long a VM that has just started waits for its seeds.
+	bootPatience = 1200 * time.Millisecond
+	// retryPause is the pause after a parent could not be followed.
+	retryPause = 100 * time.Millisecond
+	// replyGap is the least time between two updates for one child.
+	replyGap = 20 * time.Millisecond
+)
+
+// Follow asks a VM for all later updates.
+type Follow struct {
+	Epoch uint64 `msgpack:"e"`
+	Seq   uint64 `msgpack:"q"`
+}
+
+// Relay keeps a VM's board up to date. Its exported fields must be set before
+// Run.
+type Relay struct {
+	Self    leverid.VMID
+	Members *levermember.View
+	Peers   *leverpeer.Client
+	Board   *Board
+	Timer   *levertimer.Service
+	Log     leverlog.Logger
+	// Seeds are VMs known by their address only.
+	Seeds []levermsg.VM
+	// Watch watches the store itself until ctx ends.
+	Watch func(ctx context.Context)
+	// StoreCurrent reports whether that watch is in touch with the store.
+	StoreCurrent func() bool
+
+	mu sync.Mutex
+	// parent is the VM that is followed, parentPath its way to the store.
+	parent     leverid.VMID
+	parentPath []leverid.VMID
+	// orphanSince is since when neither the store nor a current parent is
+	// reached.
+	orphanSince time.Time
+}
+
+// Run keeps the board up to date until ctx ends.
+func (r *Relay) Run(ctx context.Context) {
+	r.orphanSince = r.Timer.Now()
+	go r.runChild(ctx)
+	begun := r.Timer.Now()
+	spread := r.Timer.Jitter(orphanSpread/2, 1)
+	every := r.Timer.Every(tick)
+	defer every.Stop()
+	var stop context.CancelFunc
+	for {
+		should := r.shouldWatch(r.Timer.Now(), begun, spread)
+		if should && stop == nil {
+			var watch context.Context
+			watch, stop = context.WithCancel(ctx)
+			r.Log.Info("this VM watches the store", "rank", r.rank())
+			go r.runWatch(watch)
+		}
+		if !should && stop != nil {
+			r.Log.Info("this VM leaves the watching to others", "rank", r.rank())
+			stop()
+			stop = nil
+		}
+		r.Board.SetPath(r.path(stop != nil))
+		select {
+		case <-every.C:
+		case <-ctx.Done():
+			if stop != nil {
+				stop()
+			}
+			return
+		}
+	}
+}
+
+func (r *Relay) runWatch(ctx context.Context) { r.Watch(ctx) }
+
+// path returns this VM's way to the store, and notes since when there is none.
+func (r *Relay) path(watching bool) []leverid.VMID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var path []leverid.VMID
+	switch {
+	case watching && r.StoreCurrent():
+		path = []leverid.VMID{r.Self}
+	case len(r.parentPath) > 0:
+		path = append(slices.Clone(r.parentPath), r.Self)
+	case r.orphanSince.IsZero():
+		r.orphanSince = r.Timer.Now()
+	}
+	if path != nil {
+		r.orphanSince = time.Time{}
+	}
+	return path
+}
+
+// shouldWatch reports whether this VM watches the store itself: it is one of
+// the watchers, or it is cut off from them.
+func (r *Relay) shouldWatch(now, begun time.Time, spread time.Duration) bool {
+	if len(r.Members.List()) == 0 {
+		// No other VM is known yet.
+		return len(r.Seeds) == 0 || r.isSeed() || now.Sub(begun) > bootPatience
+	}
+	rank := r.rank()
+	if rank == 0 {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.parentPath) > 0 {
+		return false
+	}
+	return rank < watchers || !r.orphanSince.IsZero() && now.Sub(r.orphanSince) > orphanPatience+spread
+}
+
+func (r *Relay) isSeed() bool {
+	self := r.Members.Self().Peer
+	return slices.ContainsFunc(r.Seeds, func(s levermsg.VM) bool { return s.Peer == self })
+}
+
+// Ranked returns the live VMs, the most powerful first, in an order that all
+// VMs with the same view agree on.
+func Ranked(live []levermsg.VM) []levermsg.VM {
+	ranked := slices.Clone(live)
+	slices.SortFunc(ranked, func(a, b levermsg.VM) int {
+		return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(leverid.Hash(string(a.ID)), leverid.Hash(string(b.ID))))
+	})
+	return ranked
+}
+
+func (r *Relay) rank() int {
+	ranked := Ranked(r.Members.Live(r.Timer.Now()))
+	return slices.IndexFunc(ranked, func(vm levermsg.VM) bool { return vm.ID == r.Self })
+}
+
+// parents returns the VMs to follow, the best first.
+func (r *Relay) parents() []levermsg.VM {
+	if len(r.Members.List()) == 0 {
+		return slices.DeleteFunc(slices.Clone(r.Seeds), func(s levermsg.VM) bool { return s.Peer == r.Members.Self().Peer })
+	}
+	ranked := Ranked(r.Members.Live(r.Timer.Now()))
+	own := slices.IndexFunc(ranked, func(vm levermsg.VM) bool { return vm.ID == r.Self })
+	var out []levermsg.VM
+	if own >= watchers {
+		out = append(out, ranked[(own-watchers)/fan])
+	}
+	for _, vm := range ranked[:min(watchers, len(ranked))] {
+		if vm.ID != r.Self && !slices.Contains(out, vm) {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// runChild follows one parent after the other.
+func (r *Relay) runChild(ctx context.Context) {
+	last := make(map[leverid.VMID]Follow)
+	for ctx.Err() == nil {
+		for _, vm := range r.parents() {
+			f := last[vm.ID]
+			r.follow(ctx, vm, &f)
+			if len(last) > maxParents {
+				clear(last)
+			}
+			last[vm.ID] = f
+		}
+		r.Timer.Sleep(ctx, r.Timer.Jitter(retryPause, 0.5))
+	}
+}
+
+// follow takes in a parent's updates until it is lost, is not current, or is
+// not the best parent any more.
+func (r *Relay) follow(ctx context.Context, vm levermsg.VM, f *Follow) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer r.setParent("", nil)
+	call, err := r.Peers.Call(ctx, vm, leverpeer.KindFollow, f)
+	if err != nil {
+		r.Log.Debug("a parent can't be followed", "parent", vm.ID, "err", err)
+		return
+	}
+	defer call.Close()
+	for {
+		wait, stop := context.WithTimeout(ctx, parentCheck)
+		body, _, err := call.Next(wait)
+		stop()
+		if err != nil && wait.Err() != nil && ctx.Err() == nil {
+			if r.isParent(vm) && r.hasPath() {
+				continue
+			}
+			return
+		}
+		if err != nil {
+			r.Log.Info("the parent is lost", "parent", vm.ID, "err", err)
+			return
+		}
+		var u Update
+		if err := leverpeer.Decode(body, &u); err != nil {
+			r.Log.Error("a parent's update can't be read", "parent", vm.ID, "err", err)
+			return
+		}
+		r.Board.Merge(&u)
+		f.Epoch, f.Seq = u.Epoch, u.Seq
+		if slices.Contains(u.Path, r.Self) {
+			u.Path = nil
+		}
+		r.setParent(vm.ID, u.Path)
+		if len(u.Path) == 0 && !r.isParent(vm) {
+			return
+		}
+	}
+}
+
+const (
+	// parentCheck is how often a child looks whether it follows the right
+	// parent. A parent without a way to the store is left after that time.
+	parentCheck = 400 * time.Millisecond
+	// maxParents bounds the parents whose state a child remembers.
+	maxParents = 16
+)
+
+// isParent reports whether vm is the best parent.
+func (r *Relay) isParent(vm levermsg.VM) bool {
+	parents := r.parents()
+	return len(parents) > 0 && parents[0].ID == vm.ID
+}
+
+func (r *Relay) hasPath() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.parentPath) > 0
+}
+
+func (r *Relay) setParent(id leverid.VMID, path []leverid.VMID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if id != r.parent && id != "" {
+		r.Log.Info("this VM follows a parent", "parent", id, "way-to-store", len(path))
+	}
+	r.parent, r.parentPath = id, path
+}
+
+// Serve serves one child's request until the child leaves.
+func (r *Relay) Serve(req *leverpeer.Request) error {
+	var f Follow
+	if err := req.Decode(&f); err != nil {
+		return err
+	}
+	for {
+		u, changed := r.Board.Since(f.Epoch, f.Seq)
+		if err := req.Reply(u, false); err != nil {
+			return err
+		}
+		f.Epoch, f.Seq = u.Epoch, u.Seq
+		if !r.Timer.Sleep(req.Ctx, replyGap) {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-req.Ctx.Done():
+			return nil
+		}
+	}
+}
