internal/leverengine: keep the way to the caller back from the objective

Change: the kernel's round-trip time of the caller's connection is kept back, twice on a new connection.

--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -15,6 +16,7 @@
 	"arbutuslever.dev/lever/internal/leverlog"
 	"arbutuslever.dev/lever/internal/levermsg"
 	"arbutuslever.dev/lever/internal/levernode"
+	"arbutuslever.dev/lever/internal/levertcp"
 	"arbutuslever.dev/lever/platform"
 
 	"github.com/juju/errors"
@@ -73,9 +75,9 @@
 }
 
 func (e *entry) servers() {
-	face := &platform.Face{Engine: entryEngine{e.node.Engine()}, BodyLimit: e.bodyLimit, Closing: e.node.Stopping}
+	face := &platform.Face{Engine: entryEngine{e.node.Engine()}, Way: e.way, BodyLimit: e.bodyLimit, Closing: e.node.Stopping}
 	e.front = &http.Server{
-		Handler: face, ReadHeaderTimeout: entryHeadTimeout, IdleTimeout: entryIdleTimeout, MaxHeaderBytes: entryMaxHead,
+		Handler: face, ConnContext: withCaller, ReadHeaderTimeout: entryHeadTimeout, IdleTimeout: entryIdleTimeout, MaxHeaderBytes: entryMaxHead,
 	}
 	e.ready = &http.Server{Handler: &platform.Ready{Ready: e.node.Ready}, ReadHeaderTimeout: entryHeadTimeout}
 }
@@ -105,6 +107,36 @@
 	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 4}}
 }
 
+// caller is one connection of a caller.
+type caller struct {
+	conn net.Conn
+	// used says that the connection has carried a request.
+	used atomic.Bool
+}
+
+type callerKey struct{}
+
+func withCaller(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerKey{}, &caller{conn: c})
+}
+
+// way returns the time that a request and its answer take between its caller
+// and this VM: a round trip, and one more if the connection was opened for it.
+func (e *entry) way(r *http.Request) time.Duration {
+	c, ok := r.Context().Value(callerKey{}).(*caller)
+	if !ok {
+		return 0
+	}
+	rtt, err := levertcp.RoundTrip(c.conn)
+	if err != nil {
+		e.log.Debug("the round trip to a caller is not known", "err", err)
+	}
+	if c.used.Swap(true) {
+		return rtt
+	}
+	return 2 * rtt
+}
+
 func (e *entry) bodyLimit() int64 {
 	if c := e.node.Engine().Directory.View().Config; c != nil && c.Limits.BodyBytes > 0 {
 		return c.Limits.BodyBytes
--- a/internal/leverdelegate/delegate.go
+++ b/internal/leverdelegate/delegate.go
@@ -37,11 +37,21 @@
 	// doubt is how long a runner is passed over that did not say so.
 	doubt = 500 * time.Millisecond
 	// wayBack is kept back for the way from the runner to this VM.
-	wayBack = 2 * time.Millisecond
+	wayBack = time.Millisecond
+	// earlyLoss is the time within which a runner that took a request has made
+	// no second attempt at any part.
+	earlyLoss = 8 * time.Millisecond
 	// mostRuns bounds the fan-outs that a VM runs for others, for each core.
 	mostRuns = 256
 )
 
+const (
+	// errUnsure means that a runner may have made one attempt at each part.
+	errUnsure = errors.ConstError("runner may have begun")
+	// errLost means that a runner may have made all attempts.
+	errLost = errors.ConstError("runner was lost")
+)
+
 // run is a request as it goes to a runner.
 type run struct {
 	// Version is the configuration that the sender works by.
@@ -56,6 +66,9 @@
 	// Wait is how long the caller waits in all, Age how long it has waited.
 	Wait time.Duration `msgpack:"w"`
 	Age  time.Duration `msgpack:"a"`
+	// Way is the time between the caller and the sender, there and back.
+	Way   time.Duration `msgpack:"y"`
+	Spent int           `msgpack:"n"`
 }
 
 // reply is what a runner says: first whether it runs the request, then the
@@ -162,7 +175,7 @@
 
 // Run has a request run by another VM. It returns false if the request is to
 // be run here.
-func (d *Delegate) Run(ctx context.Context, req *leverengine.Request, v leverid.ConfigVersion) (*leverengine.Outcome, bool) {
+func (d *Delegate) Run(ctx context.Context, req *leverengine.Request, v leverid.ConfigVersion, attempts int) (*leverengine.Outcome, bool) {
 	for _, vm := range d.candidates() {
 		out, err := d.ask(ctx, vm, req, v)
 		if err == nil {
@@ -172,6 +185,14 @@
 			return &leverengine.Outcome{Verdict: leverengine.Left}, true
 		}
 		d.Log.Info("a runner did not run a request", "id", req.ID, "runner", vm.ID, "err", err)
+		if errors.Is(err, errLost) {
+			return &leverengine.Outcome{Verdict: leverengine.MayHaveRun, Reason: err.Error()}, true
+		}
+		if errors.Is(err, errUnsure) {
+			if req.Spent++; req.Spent >= attempts {
+				return &leverengine.Outcome{Verdict: leverengine.MayHaveRun, Reason: err.Error()}, true
+			}
+		}
 	}
 	return nil, false
 }
@@ -202,7 +223,8 @@
 	defer cancel()
 	call, err := d.Peers.Call(taking, vm, leverpeer.KindRun, &run{
 		Version: v, ID: req.ID, Method: req.Method, Host: req.Host, URI: req.URI, Path: req.Path,
-		Header: req.Header, Body: req.Body, Wait: req.Wait, Age: d.Timer.Now().Sub(req.Received) + wayBack,
+		Header: req.Header, Body: req.Body, Wait: req.Wait, Age: d.Timer.Now().Sub(req.Received),
+		Way: req.Way + wayBack, Spent: req.Spent,
 	})
 	if err != nil {
 		d.doubt(vm.ID)
@@ -212,14 +234,18 @@
 	r, err := next(taking, call)
 	if err != nil {
 		d.doubt(vm.ID)
-		return nil, err
+		return nil, errors.Annotate(errUnsure, err.Error())
 	}
 	if r.Declined != "" {
 		return nil, errors.Errorf("declined: %s", r.Declined)
 	}
+	taken := d.Timer.Now()
 	if r, err = next(ctx, call); err != nil {
 		d.doubt(vm.ID)
-		return nil, err
+		if d.Timer.Now().Sub(taken) < earlyLoss {
+			return nil, errors.Annotate(errUnsure, err.Error())
+		}
+		return nil, errors.Annotate(errLost, err.Error())
 	}
 	return &leverengine.Outcome{
 		Verdict: r.Verdict, Reply: r.Upstream, Records: r.Records, Signatures: r.Signatures,
@@ -260,7 +286,7 @@
 	}
 	out := d.Engine.RunHere(req.Ctx, &leverengine.Request{
 		ID: m.ID, Method: m.Method, Host: m.Host, URI: m.URI, Path: m.Path, Header: m.Header, Body: m.Body,
-		Wait: m.Wait, Received: d.Timer.Now().Add(-m.Age),
+		Wait: m.Wait, Received: d.Timer.Now().Add(-m.Age), Way: m.Way, Spent: m.Spent,
 	})
 	return req.Reply(&reply{
 		Verdict: out.Verdict, Upstream: out.Reply, Records: out.Records, Signatures: out.Signatures,
--- a/internal/leverengine/conclude.go
+++ b/internal/leverengine/conclude.go
@@ -43,7 +43,7 @@
 	}
 	// Just after the objective the answer has lost most of its value; then it
 	// is held for the missing parts.
-	return now.Before(f.answerAt.Add(answerMargin)) || !now.Before(f.lateAt)
+	return now.Before(f.answerAt.Add(answerSpell)) || !now.Before(f.lateAt)
 }
 
 func (f *fanout) concludeOne(late bool) *Outcome {
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -40,7 +40,8 @@
 // Delegate has requests run by other VMs.
 type Delegate interface {
 	// Run returns false if the request is to be run here.
-	Run(ctx context.Context, req *Request, v leverid.ConfigVersion) (*Outcome, bool)
+	// attempts is the number of upstreams that a part may run on.
+	Run(ctx context.Context, req *Request, v leverid.ConfigVersion, attempts int) (*Outcome, bool)
 }
 
 const (
@@ -78,7 +79,7 @@
 		return e.noRoute()
 	}
 	if d != nil && len(route.Shards) > 0 {
-		if out, ok := d.Run(ctx, req, v.Config.Version); ok {
+		if out, ok := d.Run(ctx, req, v.Config.Version, route.MaxAttempts); ok {
 			return out
 		}
 	}
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -12,9 +12,12 @@
 )
 
 const (
-	// answerMargin is kept back from the objective for the ways between the
-	// caller and this VM.
-	answerMargin = 5 * time.Millisecond
+	// answerMargin is kept back from the objective, beside the ways between the
+	// caller and this VM, for the work on both sides.
+	answerMargin = 2 * time.Millisecond
+	// answerSpell is how long after that an answer with the least coverage is
+	// still given at once.
+	answerSpell = 5 * time.Millisecond
 	// lateFactor is the multiple of the objective after which an answer with
 	// the least coverage is not held for more.
 	lateFactor = 2
@@ -49,6 +52,9 @@
 	again time.Time
 }
 
+// mostRuns returns the number of upstreams that a part may run on.
+func (f *fanout) mostRuns() int { return max(f.route.MaxAttempts-f.req.Spent, 1) }
+
 func (p *part) settled() bool { return p.done || p.dead }
 
 // fanout is one request under way. Its methods run on the request's goroutine.
@@ -91,7 +97,7 @@
 	}
 	f.deadline = req.Received.Add(wait)
 	f.attempts, f.cancel = context.WithDeadline(context.Background(), f.deadline)
-	f.answerAt = req.Received.Add(route.Objective - answerMargin)
+	f.answerAt = req.Received.Add(route.Objective - req.Way - answerMargin)
 	f.lateAt = req.Received.Add(lateFactor * route.Objective)
 	f.hedgeAt = f.begun.Add(min(e.Health.SlowAfter(f.class), time.Duration(hedgeLatest*float64(route.Objective))))
 	return f
@@ -183,7 +189,7 @@
 	}
 	for i := range f.parts {
 		p := &f.parts[i]
-		if p.settled() || p.open != 1 || p.runs >= f.route.MaxAttempts {
+		if p.settled() || p.open != 1 || p.runs >= f.mostRuns() {
 			continue
 		}
 		u, expected := f.choose(p, now)
@@ -272,7 +278,7 @@
 	once := !f.route.Repeatable
 	switch {
 	case once && r.ran(),
-		p.runs >= f.route.MaxAttempts,
+		p.runs >= f.mostRuns(),
 		!f.gather && p.declined >= refusals,
 		!f.engine.Timer.Now().Before(f.deadline):
 		p.dead = p.open == 0
--- a/internal/leverengine/request.go
+++ b/internal/leverengine/request.go
@@ -23,6 +23,12 @@
 	// Wait is how long the caller waits from Received on, 0 if it did not say.
 	Wait     time.Duration
 	Received time.Time
+	// Way is the time that the request and its answer take between the caller
+	// and this VM, as far as is known.
+	Way time.Duration
+	// Spent is the number of attempts at each part that another VM may have
+	// made for the request.
+	Spent int
 }
 
 // Fingerprint identifies the request's content without its id.
--- a/internal/leverpool/pool.go
+++ b/internal/leverpool/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverdirectory"
+	"arbutuslever.dev/lever/internal/levertcp"
 
 	"github.com/juju/errors"
 )
@@ -144,7 +145,7 @@
 		if t.Once {
 			limit = min(limit, onceIdle)
 		}
-		if now.Sub(c.idleSince) < limit && c.quiet() {
+		if now.Sub(c.idleSince) < limit && levertcp.Quiet(c.Conn) {
 			p.stats.Reused++
 			return h, c, nil
 		}
@@ -168,7 +169,7 @@
 	d := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeGap, Count: 3},
-		ControlContext:  boundSilence,
+		ControlContext:  levertcp.BoundSilence(silence),
 	}
 	c, err := d.DialContext(ctx, "tcp4", address)
 	p.mu.Lock()
