internal/leverpool, internal/leverengine: a reading loop for each connection; keep back what the VM's work takes

Change: the time from the decision to the written answer is observed and kept back; requests are encoded once for all attempts; a connection's own loop reads, so that there is no goroutine and no peek for each attempt.

--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverbudget"
-	"arbutuslever.dev/lever/internal/leverengine"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leverlog"
 	"arbutuslever.dev/lever/internal/levermsg"
@@ -75,7 +74,7 @@
 }
 
 func (e *entry) servers() {
-	face := &platform.Face{Engine: entryEngine{e.node.Engine()}, Way: e.way, BodyLimit: e.bodyLimit, Closing: e.node.Stopping}
+	face := &platform.Face{Engine: e.node.Engine(), Way: e.way, BodyLimit: e.bodyLimit, Closing: e.node.Stopping}
 	e.front = &http.Server{
 		Handler: face, ConnContext: withCaller, ReadHeaderTimeout: entryHeadTimeout, IdleTimeout: entryIdleTimeout, MaxHeaderBytes: entryMaxHead,
 	}
@@ -91,14 +90,6 @@
 	return out
 }
 
-// entryEngine runs requests until their callers leave.
-type entryEngine struct{ engine *leverengine.Engine }
-
-// Run runs a request.
-func (e entryEngine) Run(r *http.Request, req *leverengine.Request) *leverengine.Outcome {
-	return e.engine.Run(r.Context(), req)
-}
-
 func storeClient() *http.Client {
 	d := &net.Dialer{
 		Timeout:         storeSilence,
--- a/internal/leverdelegate/delegate.go
+++ b/internal/leverdelegate/delegate.go
@@ -224,7 +224,7 @@
 	call, err := d.Peers.Call(taking, vm, leverpeer.KindRun, &run{
 		Version: v, ID: req.ID, Method: req.Method, Host: req.Host, URI: req.URI, Path: req.Path,
 		Header: req.Header, Body: req.Body, Wait: req.Wait, Age: d.Timer.Now().Sub(req.Received),
-		Way: req.Way + wayBack, Spent: req.Spent,
+		Way: req.Way + wayBack + d.Engine.Lag(), Spent: req.Spent,
 	})
 	if err != nil {
 		d.doubt(vm.ID)
@@ -248,7 +248,7 @@
 		return nil, errors.Annotate(errLost, err.Error())
 	}
 	return &leverengine.Outcome{
-		Verdict: r.Verdict, Reply: r.Upstream, Records: r.Records, Signatures: r.Signatures,
+		Verdict: r.Verdict, At: d.Timer.Now(), Reply: r.Upstream, Records: r.Records, Signatures: r.Signatures,
 		Missing: r.Missing, RetryAfter: r.RetryAfter, Reason: r.Reason,
 	}, nil
 }
@@ -288,6 +288,7 @@
 		ID: m.ID, Method: m.Method, Host: m.Host, URI: m.URI, Path: m.Path, Header: m.Header, Body: m.Body,
 		Wait: m.Wait, Received: d.Timer.Now().Add(-m.Age), Way: m.Way, Spent: m.Spent,
 	})
+	defer d.Engine.Written(out)
 	return req.Reply(&reply{
 		Verdict: out.Verdict, Upstream: out.Reply, Records: out.Records, Signatures: out.Signatures,
 		Missing: out.Missing, RetryAfter: out.RetryAfter, Reason: out.Reason,
--- a/internal/leverengine/attempt.go
+++ b/internal/leverengine/attempt.go
@@ -1,7 +1,6 @@
 package leverengine
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -12,23 +11,14 @@
 	"github.com/juju/errors"
 )
 
-// attempt is one call of one upstream.
+// attempt is one call of one upstream and how it ended.
 type attempt struct {
-	engine   *Engine
-	req      *Request
-	class    leverhealth.Class
+	fanout   *fanout
 	part     int
 	upstream *leverdirectory.Upstream
 	started  time.Time
-	extra    bool
-	once     bool
-	deadline time.Time
-	results  chan<- result
-}
+	exchange *leverpool.Exchange
 
-// result is the end of an attempt.
-type result struct {
-	*attempt
 	kind  leverhealth.Result
 	reply *leverpool.Reply
 	mark  Mark
@@ -36,8 +26,8 @@
 }
 
 // ran reports whether the upstream may have run the request.
-func (r *result) ran() bool {
-	switch r.kind {
+func (a *attempt) ran() bool {
+	switch a.kind {
 	case leverhealth.Shed, leverhealth.Elsewhere, leverhealth.Refused:
 		return false
 	}
@@ -45,53 +35,52 @@
 }
 
 // arrived reports whether the request may have reached the upstream.
-func (r *result) arrived() bool { return r.kind != leverhealth.Refused }
+func (a *attempt) arrived() bool { return a.kind != leverhealth.Refused }
 
-// run makes the call and delivers its result. The channel has room for it.
-func (a *attempt) run(ctx context.Context) {
-	res := result{attempt: a}
-	res.reply, res.err = a.engine.Pool.Do(ctx, a.target(), a.call(), func(w *http.Response) error {
-		res.mark = a.engine.Protocol.Read(w.StatusCode, w.Header)
-		if res.mark.Request != "" && res.mark.Request != a.req.ID {
-			return errors.Errorf("answer to request %q", res.mark.Request)
-		}
-		return nil
-	})
-	res.kind = res.judge()
-	now := a.engine.Timer.Now()
-	a.engine.Health.End(a.upstream, a.class, a.started, res.kind, now)
-	a.results <- res
+// send sends the call.
+func (a *attempt) send() {
+	f := a.fanout
+	e := f.engine
+	e.Health.Begin(a.upstream, a.started)
+	t := leverpool.Target{Upstream: a.upstream, Once: !f.route.Repeatable, MaxConnections: e.connections(a.upstream.Service)}
+	a.exchange = e.Pool.Send(t, f.call, e.Protocol.Stamp(f.deadline.Sub(a.started), a.upstream.ID), a.accept, a.done)
 }
 
-func (a *attempt) target() leverpool.Target {
-	return leverpool.Target{
-		Upstream: a.upstream, Once: a.once,
-		MaxConnections: a.engine.connections(a.upstream.Service),
+// accept reads an answer's head.
+func (a *attempt) accept(w *http.Response) error {
+	a.mark = a.fanout.engine.Protocol.Read(w.StatusCode, w.Header)
+	if a.mark.Request != a.fanout.req.ID {
+		return errors.Errorf("answer to request %q", a.mark.Request)
 	}
+	return nil
 }
 
-func (a *attempt) call() *leverpool.Call {
-	h := a.req.Header.Clone()
-	a.engine.Protocol.Stamp(h, a.deadline.Sub(a.started), a.upstream.ID)
-	return &leverpool.Call{Method: a.req.Method, URI: a.req.URI, Host: a.req.Host, Header: h, Body: a.req.Body}
+// done takes in the end of the call and delivers it to the request. The
+// channel has room for it.
+func (a *attempt) done(r *leverpool.Reply, err error) {
+	a.reply, a.err = r, err
+	a.kind = a.judge()
+	f := a.fanout
+	f.engine.Health.End(a.upstream, f.class, a.started, a.kind, f.engine.Timer.Now())
+	f.results <- a
 }
 
 // judge says what the end of the call tells about the upstream.
-func (r *result) judge() leverhealth.Result {
+func (a *attempt) judge() leverhealth.Result {
 	switch {
-	case errors.Is(r.err, leverpool.ErrNotSent):
+	case errors.Is(a.err, leverpool.ErrNotSent):
 		return leverhealth.Refused
-	case errors.Is(r.err, leverpool.ErrTimeout):
+	case errors.Is(a.err, leverpool.ErrCanceled):
 		return leverhealth.GivenUp
-	case r.err != nil:
+	case a.err != nil:
 		return leverhealth.Reset
-	case r.mark.Elsewhere:
+	case a.mark.Elsewhere:
 		return leverhealth.Elsewhere
-	case r.mark.NotRun:
+	case a.mark.NotRun:
 		return leverhealth.Shed
-	case r.mark.Signature == "" || r.mark.Encoded:
+	case a.mark.Signature == "" || a.mark.Encoded:
 		return leverhealth.Reset
-	case r.reply.Status >= http.StatusInternalServerError:
+	case a.reply.Status >= http.StatusInternalServerError:
 		return leverhealth.Failed
 	}
 	return leverhealth.Good
--- /dev/null
+++ b/internal/leverengine/bench_test.go
@@ -0,0 +1,107 @@
+package leverengine_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"arbutuslever.dev/lever/internal/leverbudget"
+	"arbutuslever.dev/lever/internal/leverdirectory"
+	"arbutuslever.dev/lever/internal/leverengine"
+	"arbutuslever.dev/lever/internal/leverhealth"
+	"arbutuslever.dev/lever/internal/leverid"
+	"arbutuslever.dev/lever/internal/leverpool"
+	"arbutuslever.dev/lever/internal/levertimer"
+)
+
+type testProtocol struct{}
+
+func (testProtocol) Strip(http.Header) {}
+
+func (testProtocol) Stamp(left time.Duration, expect leverid.UpstreamID) http.Header {
+	return http.Header{"Left": {left.String()}, "Expect-Upstream": {string(expect)}}
+}
+
+func (testProtocol) Read(_ int, h http.Header) leverengine.Mark {
+	return leverengine.Mark{Request: leverid.RequestID(h.Get("X-Request-Id")), Signature: h.Get("Signature")}
+}
+
+// echo answers each request on its connections with the same bytes.
+type echo struct{ answer []byte }
+
+func (e *echo) run(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go e.runConn(c)
+	}
+}
+
+func (e *echo) runConn(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return
+		}
+		if len(line) > 2 {
+			continue
+		}
+		if _, err := c.Write(e.answer); err != nil {
+			return
+		}
+	}
+}
+
+// BenchmarkFanout measures a fan-out over 90 shards of 3 upstreams.
+func BenchmarkFanout(b *testing.B) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer ln.Close()
+	records := strings.Repeat("0123456789abcdef", 25)
+	e := &echo{answer: []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nSignature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nX-Request-Id: 1\r\nContent-Length: %d\r\n\r\n%s", len(records), records))}
+	go e.run(ln)
+	route := leverdirectory.Route{
+		Name: "r", Host: "h.example", Prefix: "/a/", Repeatable: true, Limit: 20, RecordBytes: 16, LeastCoverage: 0.9,
+		MaxAttempts: 2, Timeout: time.Second, Objective: 500 * time.Millisecond,
+	}
+	var list []leverdirectory.Upstream
+	services := make(map[leverid.ServiceID]leverdirectory.Service)
+	for i := range 90 {
+		s := leverid.ServiceID(fmt.Sprintf("s%d", i))
+		route.Shards = append(route.Shards, s)
+		services[s] = leverdirectory.Service{MaxConnections: 50}
+		for k := range 3 {
+			list = append(list, leverdirectory.Upstream{ID: leverid.UpstreamID(fmt.Sprintf("%s-%d", s, k)), Service: s, Address: ln.Addr().String(), Slots: 2})
+		}
+	}
+	var d leverdirectory.Directory
+	d.SetConfig(&leverdirectory.Config{Version: 1, Routes: []leverdirectory.Route{route}, Services: services})
+	d.SetUpstreams(list)
+	engine := &leverengine.Engine{
+		Timer: &levertimer.Service{}, Directory: &d, Health: &leverhealth.Table{}, Pool: &leverpool.Pool{}, Protocol: testProtocol{},
+		Budget:  &leverbudget.Budget{Terms: leverbudget.Terms{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}},
+		Shares:  func() (float64, float64) { return 0.5, 0.5 },
+		Current: func() bool { return true },
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		out := engine.Run(context.Background(), &leverengine.Request{
+			ID: "1", Method: http.MethodGet, Host: "h.example", URI: "/a/b", Path: "/a/b", Received: time.Now(),
+			Header: http.Header{"X-Request-Id": {"1"}, "User-Agent": {"x"}, "Accept": {"*/*"}},
+		})
+		if out.Verdict != leverengine.Merged || out.Missing > 0 {
+			b.Fatalf("%v, %d missing", out.Verdict, out.Missing)
+		}
+	}
+}
--- a/internal/leverengine/conclude.go
+++ b/internal/leverengine/conclude.go
@@ -24,9 +24,9 @@
 	enough := done > 0 && float64(done) >= f.route.LeastCoverage*float64(len(f.parts))
 	switch {
 	case done == len(f.parts):
-		return f.merge(done)
+		return f.merge(done, now)
 	case enough && (late || settled == len(f.parts) || f.answerDue(now)):
-		return f.merge(done)
+		return f.merge(done, now)
 	case late:
 		return &Outcome{Verdict: Late, Reason: f.reason}
 	case float64(settled-done) > (1-f.route.LeastCoverage)*float64(len(f.parts)):
@@ -74,8 +74,8 @@
 }
 
 // merge makes the answer of the parts that are in.
-func (f *fanout) merge(done int) *Outcome {
-	out := &Outcome{Verdict: Merged, Missing: len(f.parts) - done, Signatures: make([]string, 0, done)}
+func (f *fanout) merge(done int, now time.Time) *Outcome {
+	out := &Outcome{Verdict: Merged, At: now, Missing: len(f.parts) - done, Signatures: make([]string, 0, done)}
 	top := levermerge.Top{Size: f.route.RecordBytes, Limit: f.route.Limit}
 	for i := range f.parts {
 		if p := &f.parts[i]; p.done {
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -34,6 +34,7 @@
 	Delegate Delegate
 
 	splits   splits
+	lag      lag
 	inFlight atomic.Int64
 }
 
@@ -54,6 +55,17 @@
 	firstConnections = 1
 )
 
+// Written takes in that an outcome was written to its caller.
+func (e *Engine) Written(out *Outcome) {
+	if !out.At.IsZero() {
+		e.lag.observe(e.Timer.Now().Sub(out.At))
+	}
+}
+
+// Lag returns the time that this VM needs from the decision to answer until the
+// answer is written.
+func (e *Engine) Lag() time.Duration { return e.lag.keep() }
+
 // InFlight returns the number of requests that are being run.
 func (e *Engine) InFlight() int { return int(e.inFlight.Load()) }
 
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -13,8 +13,8 @@
 
 const (
 	// answerMargin is kept back from the objective, beside the ways between the
-	// caller and this VM, for the work on both sides.
-	answerMargin = 2 * time.Millisecond
+	// caller and this VM and this VM's own work, for the caller's work.
+	answerMargin = time.Millisecond
 	// answerSpell is how long after that an answer with the least coverage is
 	// still given at once.
 	answerSpell = 5 * time.Millisecond
@@ -28,6 +28,8 @@
 	// hedgeLatest is the part of the objective after which hedging begins at
 	// the latest.
 	hedgeLatest = 0.45
+	// partSends bounds the attempts at one part that did not run.
+	partSends = 8
 	// refusals is the number of upstreams that may decline before the request
 	// is refused.
 	refusals = 3
@@ -55,6 +57,9 @@
 // mostRuns returns the number of upstreams that a part may run on.
 func (f *fanout) mostRuns() int { return max(f.route.MaxAttempts-f.req.Spent, 1) }
 
+// mostSends bounds the attempts at a part, those that were declined included.
+func (f *fanout) mostSends() int { return f.mostRuns() + partSends }
+
 func (p *part) settled() bool { return p.done || p.dead }
 
 // fanout is one request under way. Its methods run on the request's goroutine.
@@ -65,10 +70,10 @@
 	class   leverhealth.Class
 	gather  bool
 	parts   []part
-	results chan result
-	// attempts ends with the caller, or some time after the answer.
-	attempts context.Context
-	cancel   context.CancelFunc
+	call    *leverpool.Call
+	results chan *attempt
+	// sent are all attempts.
+	sent []*attempt
 
 	deadline, answerAt, lateAt, hedgeAt time.Time
 	begun                               time.Time
@@ -90,14 +95,15 @@
 		f.parts[i].service = s
 		e.Budget.Request(s, f.begun)
 	}
-	f.results = make(chan result, len(services)*(max(route.MaxAttempts, 1)+refusals))
+	f.results = make(chan *attempt, len(services)*f.mostSends())
+	e.Protocol.Strip(req.Header)
+	f.call = leverpool.NewCall(req.Method, req.URI, req.Host, req.Header, req.Body)
 	wait := route.Timeout
 	if req.Wait > 0 && (wait == 0 || req.Wait < wait) {
 		wait = req.Wait
 	}
 	f.deadline = req.Received.Add(wait)
-	f.attempts, f.cancel = context.WithDeadline(context.Background(), f.deadline)
-	f.answerAt = req.Received.Add(route.Objective - req.Way - answerMargin)
+	f.answerAt = req.Received.Add(route.Objective - req.Way - e.lag.keep() - answerMargin)
 	f.lateAt = req.Received.Add(lateFactor * route.Objective)
 	f.hedgeAt = f.begun.Add(min(e.Health.SlowAfter(f.class), time.Duration(hedgeLatest*float64(route.Objective))))
 	return f
@@ -118,13 +124,13 @@
 		}
 		alarm.Set(f.nextDue(now))
 		select {
-		case r := <-f.results:
-			f.take(&r)
+		case a := <-f.results:
+			f.take(a)
 		case now := <-alarm.C:
 			f.ring(now)
 		case <-ctx.Done():
 			f.cancel()
-			return &Outcome{Verdict: Left}
+			return &Outcome{Verdict: Left, Reason: "the caller left"}
 		}
 	}
 }
@@ -132,15 +138,19 @@
 // finish lets attempts that are still open go on for a while: their answers
 // keep the connections and tell about the upstreams.
 func (f *fanout) finish() {
-	open := 0
 	for i := range f.parts {
-		open += f.parts[i].open
+		if f.parts[i].open > 0 {
+			f.engine.Timer.Do(loserGrace, f.cancel)
+			return
+		}
 	}
-	if open == 0 {
-		f.cancel()
-		return
+}
+
+// cancel gives up the attempts that are still open.
+func (f *fanout) cancel() {
+	for _, a := range f.sent {
+		a.exchange.Cancel()
 	}
-	f.engine.Timer.Do(loserGrace, f.cancel)
 }
 
 // nextDue returns when something is to be done without a result.
@@ -189,7 +199,7 @@
 	}
 	for i := range f.parts {
 		p := &f.parts[i]
-		if p.settled() || p.open != 1 || p.runs >= f.mostRuns() {
+		if p.settled() || p.open != 1 || p.runs >= f.mostRuns() || len(p.tried) >= f.mostSends() {
 			continue
 		}
 		u, expected := f.choose(p, now)
@@ -205,6 +215,10 @@
 func (f *fanout) launch(i int, extra bool) {
 	p := &f.parts[i]
 	now := f.engine.Timer.Now()
+	if len(p.tried) >= f.mostSends() {
+		p.dead = p.open == 0
+		return
+	}
 	u, _ := f.choose(p, now)
 	if u == nil {
 		p.again = now.Add(againPause)
@@ -224,22 +238,19 @@
 
 func (f *fanout) send(i int, u *leverdirectory.Upstream, now time.Time) {
 	p := &f.parts[i]
-	a := &attempt{
-		engine: f.engine, req: f.req, class: f.class, part: i, upstream: u, started: now,
-		once: !f.route.Repeatable, deadline: f.deadline, results: f.results,
-	}
+	a := &attempt{fanout: f, part: i, upstream: u, started: now}
+	f.sent = append(f.sent, a)
 	p.tried = append(p.tried, u)
 	p.open++
 	p.runs++
 	if p.started.IsZero() {
 		p.started = now
 	}
-	f.engine.Health.Begin(u, now)
-	go a.run(f.attempts)
+	a.send()
 }
 
 // take takes in the end of an attempt.
-func (f *fanout) take(r *result) {
+func (f *fanout) take(r *attempt) {
 	p := &f.parts[r.part]
 	p.open--
 	if r.arrived() {
@@ -271,10 +282,10 @@
 
 // counts reports whether a whole answer settles a part. Only a success is a
 // part of a fan-out.
-func (f *fanout) counts(r *result) bool { return !f.gather || r.reply.Status < 300 }
+func (f *fanout) counts(r *attempt) bool { return !f.gather || r.reply.Status < 300 }
 
 // after decides what follows a failed attempt.
-func (f *fanout) after(r *result, p *part) {
+func (f *fanout) after(r *attempt, p *part) {
 	once := !f.route.Repeatable
 	switch {
 	case once && r.ran(),
--- a/internal/leverengine/request.go
+++ b/internal/leverengine/request.go
@@ -77,13 +77,16 @@
 	Missing    int
 	// RetryAfter is when to come back after NotReady and NotRun.
 	RetryAfter time.Duration
+	// At is when an answer of several parts was decided on, or came from the VM
+	// that ran the request.
+	At time.Time
 	// Reason is for the log.
 	Reason string
 }
 
 // Mark is what an upstream says about a call beside the answer itself.
 type Mark struct {
-	// Request is the id that the upstream echoes, empty if it echoes none.
+	// Request is the id of the request that is answered.
 	Request leverid.RequestID
 	// Signature shows who answered; a success without one is no answer.
 	Signature string
@@ -97,9 +100,11 @@
 
 // Protocol translates between the engine and an upstream's headers.
 type Protocol interface {
-	// Stamp adds the headers of one call: the time that is left and the
+	// Strip removes what the product says itself from a caller's headers.
+	Strip(h http.Header)
+	// Stamp returns the headers of one attempt: the time that is left and the
 	// upstream that is meant.
-	Stamp(h http.Header, left time.Duration, expect leverid.UpstreamID)
+	Stamp(left time.Duration, expect leverid.UpstreamID) http.Header
 	// Read returns what an answer's head says.
 	Read(status int, h http.Header) Mark
 }
--- a/internal/leverengine/story.go
+++ b/internal/leverengine/story.go
@@ -13,7 +13,7 @@
 }
 
 // note logs a failed attempt.
-func (f *fanout) note(r *result) {
+func (f *fanout) note(r *attempt) {
 	f.reason = resultNames[r.kind] + " by " + string(r.upstream.ID)
 	f.engine.Log.Info("an attempt failed", "id", f.req.ID, "route", f.route.Name, "part", r.part,
 		"service", f.parts[r.part].service, "upstream", r.upstream.ID, "result", resultNames[r.kind],
--- a/internal/levermerge/top.go
+++ b/internal/levermerge/top.go
@@ -18,6 +18,7 @@
 // Add takes in the records of one part, in any order. A rest that is shorter
 // than a record is none.
 func (t *Top) Add(b []byte) {
+	t.records = slices.Grow(t.records, len(b)/t.Size)
 	for ; len(b) >= t.Size; b = b[t.Size:] {
 		t.records = append(t.records, b[:t.Size])
 	}
--- a/internal/leverpool/pool.go
+++ b/internal/leverpool/pool.go
@@ -4,8 +4,6 @@
 package leverpool
 
 import (
-	"bufio"
-	"context"
 	"net"
 	"sync"
 	"time"
@@ -24,8 +22,8 @@
 	ErrReset = errors.ConstError("connection ended without an answer")
 	// ErrBroken means that the answer was not whole or not an answer.
 	ErrBroken = errors.ConstError("answer is not whole")
-	// ErrTimeout means that the request was sent and given up.
-	ErrTimeout = errors.ConstError("no answer in time")
+	// ErrCanceled means that the request was sent and given up.
+	ErrCanceled = errors.ConstError("given up before an answer came")
 )
 
 const (
@@ -36,13 +34,15 @@
 	// probeIdle and probeGap are the keep-alive probes' times; three unanswered
 	// probes end the connection.
 	probeIdle = time.Second
-	probeGap  = 500 * time.Millisecond
+	probeGap  = time.Second
 	// idleUnstated is how long a connection is kept if the upstream states no
 	// idle timeout.
 	idleUnstated = 4 * time.Second
 	// idleMargin is subtracted from the stated idle timeout.
 	idleMargin = 700 * time.Millisecond
-	bufferSize = 4 << 10
+	// onceIdle is the longest idle time of a connection that carries a request
+	// which can't be repeated: the upstream may have dropped an older one.
+	onceIdle = 150 * time.Millisecond
 )
 
 // Pool keeps the connections to all upstreams. The zero value is ready to use.
@@ -53,35 +53,37 @@
 	stats Stats
 }
 
-// Stats count what the pool did.
+// Stats count what the pool did since the start.
 type Stats struct {
-	Dialed, Reused, Failed int64
+	// Dialed and Failed count the connections that were made and that could
+	// not be made, Reused the calls on kept ones.
+	Dialed, Failed, Reused int64
+	// Open and Waiting are the present connections and the calls that wait for
+	// one.
+	Open, Waiting int64
 }
 
-// Stats returns the counts since the start.
+// Stats returns the counts.
 func (p *Pool) Stats() Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.stats
+	s := p.stats
+	for _, h := range p.hosts {
+		s.Open += int64(h.open)
+		s.Waiting += int64(len(h.waiters))
+	}
+	return s
 }
 
-// host is the connections to one start of an upstream.
+// host is the connections to one start of an upstream. The pool's lock guards
+// it.
 type host struct {
 	idle    []*conn
 	open    int
-	waiters []chan *conn
+	waiters []*Exchange
 	gone    bool
 }
 
-type conn struct {
-	net.Conn
-	r         *bufio.Reader
-	host      *host
-	idleSince time.Time
-	idleLimit time.Duration
-	used      int
-}
-
 // Retain closes the idle connections to upstreams that known refuses.
 func (p *Pool) Retain(known func(leverdirectory.Key) bool) {
 	p.mu.Lock()
@@ -92,147 +94,137 @@
 		}
 		h.gone = true
 		closing = append(closing, h.idle...)
-		h.open -= len(h.idle)
 		h.idle = nil
+		// Calls that are still open hold the host themselves.
 		delete(p.hosts, k)
 	}
 	p.mu.Unlock()
 	for _, c := range closing {
-		// The connection is idle; an error of the close changes nothing.
-		_ = c.Close()
+		c.close()
 	}
 }
 
-// get returns an idle connection, a new one, or the next that is given back.
-// fresh asks for one that was not idle for longer than freshIdle.
-func (p *Pool) get(ctx context.Context, t Target) (*conn, error) {
-	h, c, wait := p.reserve(t)
-	if c != nil {
-		return c, nil
-	}
-	if wait != nil {
-		select {
-		case c := <-wait:
-			if c != nil {
-				return c, nil
-			}
-		case <-ctx.Done():
-			p.abandon(h, wait)
-			return nil, errors.Annotate(ErrNotSent, "all connections are busy")
-		}
+// place finds a connection for an exchange. Without one it makes room for a new
+// connection, or lets the exchange wait.
+func (p *Pool) place(x *Exchange) (c *conn, dial bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.host(x.target.Upstream.Key())
+	x.host = h
+	if c := p.reuse(h, x.target.Once); c != nil {
+		return c, false
+	}
+	if h.open < max(x.target.MaxConnections, 1) {
+		h.open++
+		return nil, true
 	}
-	return p.dial(ctx, h, t.Upstream.Address)
+	h.waiters = append(h.waiters, x)
+	return nil, false
 }
 
-// reserve finds an idle connection, or makes room for a new one, or queues.
-func (p *Pool) reserve(t Target) (*host, *conn, chan *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+func (p *Pool) host(k leverdirectory.Key) *host {
 	if p.hosts == nil {
 		p.hosts = make(map[leverdirectory.Key]*host)
 	}
-	k := t.Upstream.Key()
 	h := p.hosts[k]
 	if h == nil {
 		h = &host{}
 		p.hosts[k] = h
 	}
+	return h
+}
+
+// reuse returns the connection that was used last, if it is not too old.
+func (p *Pool) reuse(h *host, once bool) *conn {
 	now := time.Now()
 	for len(h.idle) > 0 {
 		c := h.idle[len(h.idle)-1]
-		h.idle = h.idle[:len(h.idle)-1]
 		limit := c.idleLimit
-		if t.Once {
+		if once {
 			limit = min(limit, onceIdle)
 		}
-		if now.Sub(c.idleSince) < limit && levertcp.Quiet(c.Conn) {
+		if now.Sub(c.idleSince) < limit {
+			h.idle = h.idle[:len(h.idle)-1]
 			p.stats.Reused++
-			return h, c, nil
+			return c
 		}
-		h.open--
-		_ = c.Close()
-	}
-	if h.open < max(t.MaxConnections, 1) {
-		h.open++
-		return h, nil, nil
+		if once && now.Sub(c.idleSince) < c.idleLimit {
+			return nil
+		}
+		h.idle = h.idle[:len(h.idle)-1]
+		// Its reading ends with it and gives its place back.
+		c.close()
 	}
-	wait := make(chan *conn, 1)
-	h.waiters = append(h.waiters, wait)
-	return h, nil, wait
+	return nil
 }
 
-// onceIdle is the longest idle time of a connection that carries a request
-// which can't be repeated: the upstream may have dropped an older one.
-const onceIdle = time.Second
-
-func (p *Pool) dial(ctx context.Context, h *host, address string) (*conn, error) {
-	d := net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeGap, Count: 3},
-		ControlContext:  levertcp.BoundSilence(silence),
+// give takes a connection back after a whole answer, for the next that waits.
+func (p *Pool) give(c *conn) {
+	p.mu.Lock()
+	h := c.host
+	if h.gone {
+		p.mu.Unlock()
+		c.close()
+		return
+	}
+	next := h.nextWaiter()
+	if next == nil {
+		c.idleSince = time.Now()
+		h.idle = append(h.idle, c)
+	}
+	p.mu.Unlock()
+	if next != nil {
+		next.begin(c)
 	}
-	c, err := d.DialContext(ctx, "tcp4", address)
+}
+
+// drop takes in that a connection has ended, or could not be made.
+func (p *Pool) drop(h *host, c *conn, failed bool) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if err != nil {
+	if failed {
 		p.stats.Failed++
-		p.release(h)
-		return nil, errors.Annotate(ErrNotSent, err.Error())
 	}
-	p.stats.Dialed++
-	return &conn{Conn: c, r: bufio.NewReaderSize(c, bufferSize), host: h, idleLimit: idleUnstated}, nil
+	for i, idle := range h.idle {
+		if idle == c {
+			h.idle = append(h.idle[:i:i], h.idle[i+1:]...)
+			break
+		}
+	}
+	next := h.nextWaiter()
+	if next == nil {
+		h.open--
+	}
+	p.mu.Unlock()
+	if next != nil {
+		go next.runDial()
+	}
 }
 
-// release gives a connection's place to the next that waits.
-func (p *Pool) release(h *host) {
+func (h *host) nextWaiter() *Exchange {
 	if len(h.waiters) == 0 {
-		h.open--
-		return
+		return nil
 	}
 	next := h.waiters[0]
 	h.waiters = h.waiters[1:]
-	next <- nil
+	return next
 }
 
-func (p *Pool) abandon(h *host, wait chan *conn) {
+// leave takes an exchange out of those that wait. It returns false if it does
+// not wait any more.
+func (p *Pool) leave(x *Exchange) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i, w := range h.waiters {
-		if w == wait {
-			h.waiters = append(h.waiters[:i:i], h.waiters[i+1:]...)
-			return
+	for i, w := range x.host.waiters {
+		if w == x {
+			x.host.waiters = append(x.host.waiters[:i:i], x.host.waiters[i+1:]...)
+			return true
 		}
 	}
-	// The place was given in the meantime.
-	if c := <-wait; c != nil {
-		p.give(c)
-		return
-	}
-	p.release(h)
+	return false
 }
 
-// put takes a connection back. A connection that can't be used again is closed.
-func (p *Pool) put(c *conn, reusable bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c.used++
-	if reusable && !c.host.gone && c.r.Buffered() == 0 {
-		p.give(c)
-		return
-	}
-	_ = c.Close()
-	p.release(c.host)
-}
-
-// give hands a connection to the next that waits, or keeps it.
-func (p *Pool) give(c *conn) {
-	c.idleSince = time.Now()
-	h := c.host
-	if len(h.waiters) == 0 {
-		h.idle = append(h.idle, c)
-		return
-	}
-	next := h.waiters[0]
-	h.waiters = h.waiters[1:]
-	next <- c
+var dialer = net.Dialer{
+	Timeout:         dialTimeout,
+	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeGap, Count: 3},
+	ControlContext:  levertcp.BoundSilence(silence),
 }
