--- a/internal/leverpool/pool.go
+++ b/internal/leverpool/pool.go
@@ -119,6 +119,13 @@
 		return nil, true
 	}
 	h.waiters = append(h.waiters, x)
+	if len(h.idle) > 0 {
+		// The idle ones are too old for a request that must not run twice. The
+		// end of one gives its place to the request.
+		oldest := h.idle[0]
+		h.idle = h.idle[1:]
+		oldest.close()
+	}
 	return nil, false
 }
 
