internal/leverdelegate: a runner makes second attempts only after the sender's word

Small VMs had become runners while both large ones of a failure domain restarted. Change: a runner gives each part one attempt until the sender confirms that it still waits; strong VMs of another failure domain go before weak ones of the own. Ruled out: the hedging of the VM in place (it had made one attempt).

--- a/internal/leverdelegate/delegate.go
+++ b/internal/leverdelegate/delegate.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -38,9 +37,6 @@
 	doubt = 500 * time.Millisecond
 	// wayBack is kept back for the way from the runner to this VM.
 	wayBack = time.Millisecond
-	// earlyLoss is the time within which a runner that took a request has made
-	// no second attempt at any part.
-	earlyLoss = 8 * time.Millisecond
 	// mostRuns bounds the fan-outs that a VM runs for others, for each core.
 	mostRuns = 256
 )
@@ -97,9 +93,11 @@
 	// Stopping reports whether this VM takes no more requests of others.
 	Stopping func() bool
 
-	mu       sync.Mutex
-	live     []levermsg.VM
-	runners  []levermsg.VM
+	mu      sync.Mutex
+	live    []levermsg.VM
+	runners []levermsg.VM
+	// all is the number of VMs that run fan-outs for some failure domain.
+	all      int
 	doubted  map[leverid.VMID]time.Time
 	next     uint64
 	running  int
@@ -124,15 +122,10 @@
 	if len(d.runners) == 0 {
 		return 1 / n
 	}
-	domains := make(map[leverid.Domain]bool)
-	for _, vm := range d.live {
-		domains[vm.Domain] = true
-	}
-	all := float64(len(d.runners) * len(domains))
 	if d.isRunner {
-		return runnersShare / all
+		return runnersShare / float64(d.all)
 	}
-	return (1 - runnersShare) / max(n-all, 1)
+	return (1 - runnersShare) / max(n-float64(d.all), 1)
 }
 
 // runnersShare is the part of the upstreams' connections and of the slack that
@@ -151,26 +144,60 @@
 	if len(live) < leastFleet {
 		return
 	}
-	d.runners = runnersOf(live, d.Self.Domain)
-	d.isRunner = slices.ContainsFunc(d.runners, func(vm levermsg.VM) bool { return vm.ID == d.Self.ID })
+	ranked := leverrelay.Ranked(live)
+	most := 0.0
+	for _, vm := range d.Members.List() {
+		most = max(most, vm.Power)
+	}
+	all := make(map[leverid.VMID]bool)
+	seen := make(map[leverid.Domain]bool)
+	for _, vm := range live {
+		if seen[vm.Domain] {
+			continue
+		}
+		seen[vm.Domain] = true
+		for _, r := range runnersOf(ranked, vm.Domain, most) {
+			all[r.ID] = true
+		}
+	}
+	d.all = len(all)
+	d.isRunner = all[d.Self.ID]
+	d.runners = runnersOf(ranked, d.Self.Domain, most)
 }
 
-// runnersOf returns the VMs that run the fan-outs of a failure domain: the most
-// powerful ones.
-func runnersOf(live []levermsg.VM, domain leverid.Domain) []levermsg.VM {
-	ranked := slices.DeleteFunc(leverrelay.Ranked(live), func(vm levermsg.VM) bool { return vm.Domain != domain })
+// strongPart is the part of the most powerful VM's processor from which on a
+// VM is strong.
+const strongPart = 0.5
+
+// runnersOf returns the VMs that run the fan-outs of a failure domain: strong
+// ones of the domain, else strong ones of others, else the first of the domain.
+func runnersOf(ranked []levermsg.VM, domain leverid.Domain, most float64) []levermsg.VM {
+	var own, strong, others []levermsg.VM
 	total := 0.0
 	for _, vm := range ranked {
-		total += vm.Power
+		isStrong := vm.Power >= strongPart*most
+		switch {
+		case vm.Domain != domain && isStrong:
+			others = append(others, vm)
+		case vm.Domain == domain && isStrong:
+			strong = append(strong, vm)
+			fallthrough
+		case vm.Domain == domain:
+			own = append(own, vm)
+			total += vm.Power
+		}
 	}
 	sum := 0.0
-	for i, vm := range ranked {
+	for i, vm := range strong {
 		if i >= leastRunners && sum >= runnerPart*total {
-			return ranked[:i]
+			return strong[:i]
 		}
 		sum += vm.Power
 	}
-	return ranked
+	if len(strong) == 0 && len(others) == 0 {
+		return own[:min(leastRunners, len(own))]
+	}
+	return append(strong, others[:min(len(others), max(leastRunners-len(strong), 0))]...)
 }
 
 // Run has a request run by another VM. It returns false if the request is to
@@ -239,12 +266,13 @@
 	if r.Declined != "" {
 		return nil, errors.Errorf("declined: %s", r.Declined)
 	}
-	taken := d.Timer.Now()
-	if r, err = next(ctx, call); err != nil {
+	// From here on the runner may make second attempts.
+	err = call.Signal(nil)
+	if err == nil {
+		r, err = next(ctx, call)
+	}
+	if err != nil {
 		d.doubt(vm.ID)
-		if d.Timer.Now().Sub(taken) < earlyLoss {
-			return nil, errors.Annotate(errUnsure, err.Error())
-		}
 		return nil, errors.Annotate(errLost, err.Error())
 	}
 	return &leverengine.Outcome{
@@ -287,6 +315,7 @@
 	out := d.Engine.RunHere(req.Ctx, &leverengine.Request{
 		ID: m.ID, Method: m.Method, Host: m.Host, URI: m.URI, Path: m.Path, Header: m.Header, Body: m.Body,
 		Wait: m.Wait, Received: d.Timer.Now().Add(-m.Age), Way: m.Way, Spent: m.Spent,
+		Confirmed: (&confirmation{signals: req.Signals}).seen,
 	})
 	defer d.Engine.Written(out)
 	return req.Reply(&reply{
@@ -295,6 +324,26 @@
 	}, true)
 }
 
+// confirmation is the sender's word that it waits for the runner's answer. A
+// request that was late at the runner, and was given to another, gets none.
+type confirmation struct {
+	signals <-chan []byte
+	got     bool
+}
+
+// seen reports whether the confirmation has come.
+func (c *confirmation) seen() bool {
+	if c.got {
+		return true
+	}
+	select {
+	case <-c.signals:
+		c.got = true
+	default:
+	}
+	return c.got
+}
+
 // begin says why a request of another VM is not run here, if it is not. The
 // two VMs must work by one configuration.
 func (d *Delegate) begin(v leverid.ConfigVersion) string {
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -55,10 +55,15 @@
 }
 
 // mostRuns returns the number of upstreams that a part may run on.
-func (f *fanout) mostRuns() int { return max(f.route.MaxAttempts-f.req.Spent, 1) }
+func (f *fanout) mostRuns() int {
+	if f.req.Confirmed != nil && !f.req.Confirmed() {
+		return 1
+	}
+	return max(f.route.MaxAttempts-f.req.Spent, 1)
+}
 
 // mostSends bounds the attempts at a part, those that were declined included.
-func (f *fanout) mostSends() int { return f.mostRuns() + partSends }
+func (f *fanout) mostSends() int { return max(f.route.MaxAttempts, 1) + partSends }
 
 func (p *part) settled() bool { return p.done || p.dead }
 
--- a/internal/leverengine/request.go
+++ b/internal/leverengine/request.go
@@ -29,6 +29,9 @@
 	// Spent is the number of attempts at each part that another VM may have
 	// made for the request.
 	Spent int
+	// Confirmed, if set, reports whether the VM that the request came from
+	// still waits for it. Until then each part gets one attempt.
+	Confirmed func() bool
 }
 
 // Fingerprint identifies the request's content without its id.
