internal/leverrank: admit by the room that calls' times show

Change: the room of a group of services shrinks to the work that was done when half of the calls are slow in two windows running, and is given out by rank with floors; a refusal comes before the fan-out. Attempts that wait for a connection are withdrawn when their request ends.

--- a/internal/leverengine/attempt.go
+++ b/internal/leverengine/attempt.go
@@ -61,7 +61,11 @@
 	a.reply, a.err = r, err
 	a.kind = a.judge()
 	f := a.fanout
-	f.engine.Health.End(a.upstream, f.class, a.started, a.kind, f.engine.Timer.Now())
+	now := f.engine.Timer.Now()
+	f.engine.Health.End(a.upstream, f.class, a.started, a.kind, now)
+	if a.kind == leverhealth.Good || a.kind == leverhealth.GivenUp {
+		f.room.Observe(f.work/float64(len(f.parts)), now.Sub(a.started) > time.Duration(slowCall*float64(f.route.Objective)), now)
+	}
 	f.results <- a
 }
 
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -35,6 +35,7 @@
 
 	splits   splits
 	lag      lag
+	rooms    rooms
 	inFlight atomic.Int64
 }
 
@@ -96,6 +97,10 @@
 		}
 	}
 	f := e.newFanout(req, route)
+	if out := f.admit(); out != nil {
+		f.end(out)
+		return out
+	}
 	out := f.run(ctx)
 	f.end(out)
 	return out
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -9,6 +9,7 @@
 	"arbutuslever.dev/lever/internal/leverhealth"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leverpool"
+	"arbutuslever.dev/lever/internal/leverrank"
 )
 
 const (
@@ -69,12 +70,15 @@
 
 // fanout is one request under way. Its methods run on the request's goroutine.
 type fanout struct {
-	engine  *Engine
-	req     *Request
-	route   *leverdirectory.Route
-	class   leverhealth.Class
-	gather  bool
-	parts   []part
+	engine *Engine
+	req    *Request
+	route  *leverdirectory.Route
+	class  leverhealth.Class
+	gather bool
+	parts  []part
+	room   *leverrank.Room
+	// work is the time that the request takes at each of its services.
+	work    float64
 	call    *leverpool.Call
 	results chan *attempt
 	// sent are all attempts.
@@ -98,8 +102,8 @@
 	f.parts = make([]part, len(services))
 	for i, s := range services {
 		f.parts[i].service = s
-		e.Budget.Request(s, f.begun)
 	}
+	f.room = e.rooms.of(services[0])
 	f.results = make(chan *attempt, len(services)*f.mostSends())
 	e.Protocol.Strip(req.Header)
 	f.call = leverpool.NewCall(req.Method, req.URI, req.Host, req.Header, req.Body)
@@ -120,6 +124,7 @@
 	defer alarm.Stop()
 	defer f.finish()
 	for i := range f.parts {
+		f.engine.Budget.Request(f.parts[i].service, f.begun)
 		f.launch(i, false)
 	}
 	for {
@@ -143,11 +148,12 @@
 // finish lets attempts that are still open go on for a while: their answers
 // keep the connections and tell about the upstreams.
 func (f *fanout) finish() {
-	for i := range f.parts {
-		if f.parts[i].open > 0 {
-			f.engine.Timer.Do(loserGrace, f.cancel)
-			return
-		}
+	open := false
+	for _, a := range f.sent {
+		open = !a.exchange.Withdraw() || open
+	}
+	if open {
+		f.engine.Timer.Do(loserGrace, f.cancel)
 	}
 }
 
--- a/internal/leverhealth/table.go
+++ b/internal/leverhealth/table.go
@@ -62,6 +62,10 @@
 	// unusually slow.
 	leastDelay     = 8 * time.Millisecond
 	mostDeviations = 3.0
+	// baseFall and baseRise are the weights of one more observation below and
+	// above the base.
+	baseFall = 0.1
+	baseRise = 0.002
 	// firstMean stands for a class without observations.
 	firstMean = 20 * time.Millisecond
 )
@@ -77,7 +81,9 @@
 // spread is the mean and the mean deviation of a class's times in seconds.
 type spread struct {
 	mean, deviation float64
-	n               int
+	// base is about the least time, that of a call that does not queue.
+	base float64
+	n    int
 }
 
 // state is what is believed of one start of an upstream.
@@ -133,7 +139,7 @@
 	}
 	s := t.classes[c]
 	if s == nil {
-		s = &spread{mean: firstMean.Seconds(), deviation: firstMean.Seconds() / 2}
+		s = &spread{mean: firstMean.Seconds(), base: firstMean.Seconds(), deviation: firstMean.Seconds() / 2}
 		t.classes[c] = s
 	}
 	return s
@@ -190,6 +196,11 @@
 	w := max(classGain, 1/float64(g.n+1))
 	g.deviation += w * (math.Abs(clipped-g.mean) - g.deviation)
 	g.mean += w * (clipped - g.mean)
+	gain := baseRise
+	if clipped < g.base {
+		gain = baseFall
+	}
+	g.base += gain * (clipped - g.base)
 	a := s.slow[c]
 	if a == nil {
 		a = &average{base: 1}
@@ -211,6 +222,13 @@
 	return max(seconds(g.mean+mostDeviations*g.deviation), leastDelay)
 }
 
+// Work returns the time that a call of the class takes without queueing.
+func (t *Table) Work(c Class) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return seconds(t.class(c).base)
+}
+
 // Expect returns the time that a call is expected to take, with penalties for
 // what speaks against the upstream.
 func (t *Table) Expect(u *leverdirectory.Upstream, c Class, now time.Time) time.Duration {
--- a/internal/leverpool/exchange.go
+++ b/internal/leverpool/exchange.go
@@ -110,6 +110,23 @@
 	}
 }
 
+// Withdraw gives the call up if it has not been sent, so that it never runs. It
+// reports whether the call has ended or will end unsent.
+func (x *Exchange) Withdraw() bool {
+	x.mu.Lock()
+	if x.ended || x.conn != nil {
+		ended := x.ended
+		x.mu.Unlock()
+		return ended
+	}
+	x.canceled = true
+	x.mu.Unlock()
+	if x.pool.leave(x) {
+		x.end(nil, errors.Annotate(ErrNotSent, "given up while all connections were busy"))
+	}
+	return true
+}
+
 // cut closes the connection, if there is one. The lock keeps the connection
 // from being given to another exchange meanwhile. cut reports whether the call
 // may still wait for a connection.
--- a/internal/leverrank/demand.go
+++ b/internal/leverrank/demand.go
@@ -24,9 +24,12 @@
 }
 
 // Add counts one offered query.
-func (m *Meter) Add(r leverid.Rank, now time.Time) {
+func (m *Meter) Add(r leverid.Rank, now time.Time) { m.AddWork(r, 1, now) }
+
+// AddWork counts offered work.
+func (m *Meter) AddWork(r leverid.Rank, work float64, now time.Time) {
 	m.roll(now)
-	m.count[r]++
+	m.count[r] += work
 }
 
 // Rates returns the offered rates. While a window runs, a rate that is already
