internal/leverengine, internal/levernode: tell each decision, measure, contain contents that crash upstreams

Cause: a failed request could not be explained from the log, and contents that crash upstreams were retried everywhere. Change: log lines for attempts that failed, extra attempts and why, what is believed anew of an upstream, how a request ended; at most 50 a second of each kind, through a queue that never blocks. Suspect contents run on one part first; VMs tell each other through the relay. Entries of VMs that were silent for two minutes are removed. A settings file that changes is followed with and without SIGHUP.

--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -13,6 +14,7 @@
 	"arbutuslever.dev/lever/internal/leverbudget"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leverlog"
+	"arbutuslever.dev/lever/internal/levermetric"
 	"arbutuslever.dev/lever/internal/levermsg"
 	"arbutuslever.dev/lever/internal/levernode"
 	"arbutuslever.dev/lever/internal/levertcp"
@@ -34,22 +36,33 @@
 	drainPart = 0.7
 	// endPart is the part of the grace at which the process ends.
 	endPart = 0.95
+	// reloadPeriod is how often the settings file is looked at: it may change
+	// without a signal.
+	reloadPeriod = 2 * time.Second
+	// metricsPort is the port that deploy/system.toml names.
+	metricsPort = "9464"
 	// storeSilence ends a connection to the store whose peer is silent.
 	storeSilence = time.Second
 )
 
 // entry is the process on the users' platform.
 type entry struct {
+	path     string
 	settings *platform.Settings
+	sink     *leverlog.Sink
 	log      leverlog.Logger
+	metrics  *levermetric.Set
 	node     *levernode.Node
 	front    *http.Server
 	ready    *http.Server
+	measure  *http.Server
 }
 
-func newEntry(s *platform.Settings) *entry {
-	log := leverlog.New(os.Stdout, "info", s.Node)
-	e := &entry{settings: s, log: log.For("entry")}
+func newEntry(path string, s *platform.Settings) *entry {
+	sink := leverlog.NewSink(os.Stdout)
+	log := leverlog.New(sink, "info", s.Node)
+	e := &entry{path: path, settings: s, sink: sink, log: log.For("entry"), metrics: &levermetric.Set{}}
+	e.metrics.Gauge("log-lines-dropped", func() float64 { return float64(sink.Dropped()) })
 	storeLog := log.For("store")
 	store := &platform.Store{
 		Base: "http://" + s.Platform.Address, HTTP: storeClient(),
@@ -63,11 +76,7 @@
 			State: levermsg.Live, Power: s.Power(),
 		},
 		Store: store, Protocol: platform.Protocol{}, Log: log, PeerKey: s.Platform.Address,
-		Seeds: seeds(s),
-		Terms: leverbudget.Terms{
-			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
-			Window: time.Duration(s.Bounds.RetryWindowS * float64(time.Second)),
-		},
+		Seeds: seeds(s), Terms: terms(s), Metrics: e.metrics,
 	})
 	e.servers()
 	return e
@@ -79,6 +88,16 @@
 		Handler: face, ConnContext: withCaller, ReadHeaderTimeout: entryHeadTimeout, IdleTimeout: entryIdleTimeout, MaxHeaderBytes: entryMaxHead,
 	}
 	e.ready = &http.Server{Handler: &platform.Ready{Ready: e.node.Ready}, ReadHeaderTimeout: entryHeadTimeout}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", e.metrics)
+	e.measure = &http.Server{Handler: mux, ReadHeaderTimeout: entryHeadTimeout}
+}
+
+func terms(s *platform.Settings) leverbudget.Terms {
+	return leverbudget.Terms{
+		Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
+		Window: time.Duration(s.Bounds.RetryWindowS * float64(time.Second)),
+	}
 }
 
 func seeds(s *platform.Settings) []levermsg.VM {
@@ -148,15 +167,46 @@
 	}
 	go e.runServer(e.front, listeners[0])
 	go e.runServer(e.ready, listeners[1])
+	if ln, err := net.Listen("tcp4", net.JoinHostPort(e.settings.IP, metricsPort)); err == nil {
+		go e.runServer(e.measure, ln)
+	} else {
+		e.log.Warn("the metrics are not served", "err", err)
+	}
 	e.node.Start(listeners[2])
-	e.log.Info("the process has started", "front", e.settings.Listen.Front)
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
+	e.log.Info("the process has started", "front", e.settings.Listen.Front, "domain", e.settings.Zone, "power", e.settings.Power())
+	looks := time.NewTicker(reloadPeriod)
+	defer looks.Stop()
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return e.stop()
+			}
+			e.log.Info("SIGHUP: the settings are read again")
+			e.reload()
+		case <-looks.C:
+			e.reload()
 		}
-		e.log.Info("the settings were read again")
 	}
-	return e.stop()
+}
+
+// reload follows a settings file that has changed. Addresses stay until the
+// next start; a file that is not valid changes nothing.
+func (e *entry) reload() {
+	s, err := platform.LoadSettings(e.path)
+	if err != nil {
+		e.log.Error("the settings are not valid; the old ones stay", "err", err)
+		return
+	}
+	if reflect.DeepEqual(s, e.settings) {
+		return
+	}
+	e.log.Info("the settings have changed", "retry-ratio", s.Bounds.RetryRatio, "retry-slack", s.Bounds.RetrySlack, "grace-s", s.Bounds.GraceS)
+	if s.Listen != e.settings.Listen || s.Platform.Address != e.settings.Platform.Address {
+		e.log.Warn("changed addresses are followed at the next start", "front", s.Listen.Front, "store", s.Platform.Address)
+	}
+	e.settings = s
+	e.node.SetTerms(terms(s))
 }
 
 func (e *entry) runServer(s *http.Server, ln net.Listener) {
@@ -182,5 +232,6 @@
 	}
 	e.node.Stop()
 	e.log.Info("the process has stopped")
+	e.sink.Close()
 	return nil
 }
--- a/cmd/arbutuslever/main.go
+++ b/cmd/arbutuslever/main.go
@@ -53,11 +53,12 @@
 
 // mainEntry runs the process on the users' platform.
 func mainEntry() {
-	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	path := os.Getenv(platform.SettingsVariable)
+	s, err := platform.LoadSettings(path)
 	if err != nil {
 		fail(err)
 	}
-	if err := newEntry(s).serve(); err != nil {
+	if err := newEntry(path, s).serve(); err != nil {
 		fail(err)
 	}
 }
--- a/internal/leverbudget/budget.go
+++ b/internal/leverbudget/budget.go
@@ -68,6 +68,16 @@
 	b.share = part
 }
 
+// SetTerms changes the bound. The windows begin anew if their length changes.
+func (b *Budget) SetTerms(t Terms) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t.Window != b.Terms.Window {
+		b.windows = nil
+	}
+	b.Terms = t
+}
+
 // Request counts a request for a service.
 func (b *Budget) Request(s leverid.ServiceID, now time.Time) {
 	b.mu.Lock()
--- a/internal/leverengine/attempt.go
+++ b/internal/leverengine/attempt.go
@@ -62,7 +62,9 @@
 	a.kind = a.judge()
 	f := a.fanout
 	now := f.engine.Timer.Now()
-	f.engine.Health.End(a.upstream, f.class, a.started, a.kind, now)
+	if b := f.engine.Health.End(a.upstream, f.class, a.started, a.kind, now); b != "" {
+		f.noteBelief(a, b)
+	}
 	if a.kind == leverhealth.Good || a.kind == leverhealth.GivenUp {
 		f.room.Observe(f.work/float64(len(f.parts)), now.Sub(a.started) > time.Duration(slowCall*float64(f.route.Objective)), now)
 	}
--- a/internal/leverengine/bench_test.go
+++ b/internal/leverengine/bench_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverbudget"
+	"arbutuslever.dev/lever/internal/levercrash"
 	"arbutuslever.dev/lever/internal/leverdirectory"
 	"arbutuslever.dev/lever/internal/leverengine"
 	"arbutuslever.dev/lever/internal/leverhealth"
@@ -89,7 +90,7 @@
 	d.SetConfig(&leverdirectory.Config{Version: 1, Routes: []leverdirectory.Route{route}, Services: services})
 	d.SetUpstreams(list)
 	engine := &leverengine.Engine{
-		Timer: &levertimer.Service{}, Directory: &d, Health: &leverhealth.Table{}, Pool: &leverpool.Pool{}, Protocol: testProtocol{},
+		Timer: &levertimer.Service{}, Directory: &d, Health: &leverhealth.Table{}, Pool: &leverpool.Pool{}, Protocol: testProtocol{}, Crashes: &levercrash.Guard{},
 		Budget:  &leverbudget.Budget{Terms: leverbudget.Terms{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}},
 		Shares:  func() (float64, float64) { return 0.5, 0.5 },
 		Current: func() bool { return true },
--- /dev/null
+++ b/internal/leverengine/crash.go
@@ -0,0 +1,98 @@
+package leverengine
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"arbutuslever.dev/lever/internal/levercrash"
+	"arbutuslever.dev/lever/internal/leverhealth"
+	"arbutuslever.dev/lever/internal/leverid"
+	"arbutuslever.dev/lever/internal/leverpool"
+)
+
+// barredComeBack is the pause proposed for content that crashes upstreams.
+const barredComeBack = 10 * time.Second
+
+// guarded runs the request unless its content crashes upstreams. Suspect
+// content runs on one part first.
+func (f *fanout) guarded(ctx context.Context) *Outcome {
+	g := f.engine.Crashes
+	f.fingerprint = f.req.Fingerprint()
+	level, upstream := g.Level(f.fingerprint, f.begun)
+	switch level {
+	case levercrash.Clear:
+		return f.run(ctx)
+	case levercrash.Suspect:
+		if !g.BeginTrial(f.fingerprint) {
+			return &Outcome{Verdict: NotRun, RetryAfter: comeBack, Reason: "the content is on trial"}
+		}
+		defer g.EndTrial(f.fingerprint)
+		f.trial = true
+		f.trialPart = f.partOf(upstream)
+		f.engine.Log.Warn("suspect content runs on one part first", "id", f.req.ID, "route", f.route.Name, "fingerprint", f.fingerprint)
+		return f.run(ctx)
+	}
+	return &Outcome{Verdict: NotRun, RetryAfter: barredComeBack, Reason: "the content crashed upstreams"}
+}
+
+// partOf returns the part that an upstream belongs to.
+func (f *fanout) partOf(id leverid.UpstreamID) int {
+	v := f.engine.Directory.View()
+	for i := range f.parts {
+		for _, u := range v.Upstreams(f.parts[i].service) {
+			if u.ID == id {
+				return i
+			}
+		}
+	}
+	return 0
+}
+
+// crashed takes in what an attempt's end says about the content.
+func (f *fanout) crashed(a *attempt) {
+	e := f.engine
+	now := e.Timer.Now()
+	shard := leverid.ShardID(a.part)
+	switch {
+	case a.kind == leverhealth.Good || a.kind == leverhealth.Failed:
+		e.Crashes.Good(f.fingerprint, shard, now)
+		if f.trial {
+			f.cleared(now)
+		}
+	case errors.Is(a.err, leverpool.ErrReset):
+		level, news := e.Crashes.Reset(levercrash.Reset{
+			Fingerprint: f.fingerprint, Service: f.parts[a.part].service, Upstream: a.upstream.ID, Shard: shard, Trial: f.trial,
+		}, now)
+		if news {
+			e.Log.Warn("content is believed to crash upstreams", "id", f.req.ID, "fingerprint", f.fingerprint, "barred", level == levercrash.Barred, "upstream", a.upstream.ID)
+			f.tell(now)
+		}
+	}
+}
+
+// cleared lets the other parts run after a trial that went well.
+func (f *fanout) cleared(now time.Time) {
+	f.trial = false
+	if f.engine.Crashes.Pass(f.fingerprint, now) {
+		f.engine.Log.Info("suspect content is cleared", "id", f.req.ID, "fingerprint", f.fingerprint)
+		f.tell(now)
+	}
+	for i := range f.parts {
+		if i != f.trialPart {
+			f.launch(i, false)
+		}
+	}
+}
+
+// tell hands the content's level on to the other VMs.
+func (f *fanout) tell(now time.Time) {
+	if f.engine.OnCrash == nil {
+		return
+	}
+	for _, entry := range f.engine.Crashes.Entries(now) {
+		if entry.Fingerprint == f.fingerprint {
+			f.engine.OnCrash([]levercrash.Entry{entry})
+		}
+	}
+}
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -6,10 +6,12 @@
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverbudget"
+	"arbutuslever.dev/lever/internal/levercrash"
 	"arbutuslever.dev/lever/internal/leverdirectory"
 	"arbutuslever.dev/lever/internal/leverhealth"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leverlog"
+	"arbutuslever.dev/lever/internal/levermetric"
 	"arbutuslever.dev/lever/internal/leverpool"
 	"arbutuslever.dev/lever/internal/levertimer"
 )
@@ -25,6 +27,11 @@
 	Budget    *leverbudget.Budget
 	Pool      *leverpool.Pool
 	Protocol  Protocol
+	Crashes   *levercrash.Guard
+	// OnCrash, if set, is told of contents whose level has changed.
+	OnCrash func([]levercrash.Entry)
+	// Metrics may be nil.
+	Metrics *levermetric.Set
 	// Shares returns this VM's part of the upstreams' connections, of services
 	// that are shards of fan-outs and of others.
 	Shares func() (fanout, other float64)
@@ -96,12 +103,11 @@
 			return out
 		}
 	}
-	f := e.newFanout(req, route)
-	if out := f.admit(); out != nil {
-		f.end(out)
-		return out
+	f := e.newFanout(req, v, route)
+	out := f.admit()
+	if out == nil {
+		out = f.guarded(ctx)
 	}
-	out := f.run(ctx)
 	f.end(out)
 	return out
 }
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -70,13 +70,14 @@
 
 // fanout is one request under way. Its methods run on the request's goroutine.
 type fanout struct {
-	engine *Engine
-	req    *Request
-	route  *leverdirectory.Route
-	class  leverhealth.Class
-	gather bool
-	parts  []part
-	room   *leverrank.Room
+	engine  *Engine
+	req     *Request
+	route   *leverdirectory.Route
+	version leverid.ConfigVersion
+	class   leverhealth.Class
+	gather  bool
+	parts   []part
+	room    *leverrank.Room
 	// work is the time that the request takes at each of its services.
 	work    float64
 	call    *leverpool.Call
@@ -87,13 +88,17 @@
 	deadline, answerAt, lateAt, hedgeAt time.Time
 	begun                               time.Time
 	hedged, retried                     int
-	ran                                 bool
-	failure                             *leverpool.Reply
-	reason                              string
+	fingerprint                         leverid.Fingerprint
+	// trial says that the content is suspect: it runs on one part first.
+	trial     bool
+	trialPart int
+	ran       bool
+	failure   *leverpool.Reply
+	reason    string
 }
 
-func (e *Engine) newFanout(req *Request, route *leverdirectory.Route) *fanout {
-	f := &fanout{engine: e, req: req, route: route, class: leverhealth.Class(route.Name), begun: e.Timer.Now()}
+func (e *Engine) newFanout(req *Request, v *leverdirectory.View, route *leverdirectory.Route) *fanout {
+	f := &fanout{engine: e, req: req, route: route, version: v.Config.Version, class: leverhealth.Class(route.Name), begun: e.Timer.Now()}
 	services := route.Shards
 	f.gather = len(services) > 0
 	if !f.gather {
@@ -125,7 +130,9 @@
 	defer f.finish()
 	for i := range f.parts {
 		f.engine.Budget.Request(f.parts[i].service, f.begun)
-		f.launch(i, false)
+		if !f.trial || i == f.trialPart {
+			f.launch(i, false)
+		}
 	}
 	for {
 		now := f.engine.Timer.Now()
@@ -205,7 +212,7 @@
 // hedge sends a second attempt beside each one that is unusually slow.
 func (f *fanout) hedge(now time.Time) {
 	f.hedgeAt = f.hedgeAt.Add(f.engine.Health.SlowAfter(f.class))
-	if !f.route.Repeatable {
+	if !f.route.Repeatable || f.trial {
 		return
 	}
 	for i := range f.parts {
@@ -214,11 +221,15 @@
 			continue
 		}
 		u, expected := f.choose(p, now)
-		if u == nil || !leverhealth.Usable(expected) || !f.engine.Budget.Take(p.service, leverbudget.Hedge, now) {
+		if u == nil || !leverhealth.Usable(expected) {
+			continue
+		}
+		if !f.engine.Budget.Take(p.service, leverbudget.Hedge, now) {
+			f.noteDenied("hedge", i)
 			continue
 		}
 		f.hedged++
-		f.send(i, u, now)
+		f.noteExtra("hedge", f.send(i, u, now), "slow at "+string(p.tried[len(p.tried)-2].ID))
 	}
 }
 
@@ -238,16 +249,18 @@
 	}
 	if extra && !f.engine.Budget.Take(p.service, leverbudget.Retry, now) {
 		f.reason = "no budget for a retry at " + string(p.service)
+		f.noteDenied("retry", i)
 		p.dead = p.open == 0
 		return
 	}
+	a := f.send(i, u, now)
 	if extra {
 		f.retried++
+		f.noteExtra("retry", a, f.reason)
 	}
-	f.send(i, u, now)
 }
 
-func (f *fanout) send(i int, u *leverdirectory.Upstream, now time.Time) {
+func (f *fanout) send(i int, u *leverdirectory.Upstream, now time.Time) *attempt {
 	p := &f.parts[i]
 	a := &attempt{fanout: f, part: i, upstream: u, started: now}
 	f.sent = append(f.sent, a)
@@ -258,6 +271,7 @@
 		p.started = now
 	}
 	a.send()
+	return a
 }
 
 // take takes in the end of an attempt.
@@ -271,6 +285,8 @@
 		p.runs--
 		p.declined++
 	}
+	f.noteAttempt(r)
+	f.crashed(r)
 	if r.kind == leverhealth.Good && f.counts(r) {
 		if !p.done {
 			p.done, p.dead, p.reply, p.signature = true, false, r.reply, r.mark.Signature
@@ -287,7 +303,7 @@
 	if r.kind == leverhealth.Failed {
 		f.failure = r.reply
 	}
-	f.note(r)
+	f.reason = resultNames[r.kind] + " by " + string(r.upstream.ID)
 	f.after(r, p)
 }
 
@@ -302,6 +318,7 @@
 	case once && r.ran(),
 		p.runs >= f.mostRuns(),
 		!f.gather && p.declined >= refusals,
+		f.trial,
 		!f.engine.Timer.Now().Before(f.deadline):
 		p.dead = p.open == 0
 	case p.open > 0:
--- a/internal/leverhealth/table.go
+++ b/internal/leverhealth/table.go
@@ -97,6 +97,7 @@
 	failing  average
 	pause    time.Duration
 	avoid    time.Time
+	belief   Belief
 	coldTill time.Time
 }
 
@@ -126,7 +127,7 @@
 	}
 	s := t.states[u.Key()]
 	if s == nil {
-		s = &state{slow: make(map[Class]*average), coldTill: now.Add(u.ColdFor)}
+		s = &state{slow: make(map[Class]*average), coldTill: now.Add(u.ColdFor), belief: Sound}
 		t.states[u.Key()] = s
 	}
 	s.seen = now
@@ -153,11 +154,54 @@
 	s.open = append(s.open, now)
 }
 
-// End takes in how the call that began at start ended.
-func (t *Table) End(u *leverdirectory.Upstream, c Class, start time.Time, r Result, now time.Time) {
+// End takes in how the call that began at start ended. It returns what is
+// believed anew of the upstream, or "".
+func (t *Table) End(u *leverdirectory.Upstream, c Class, start time.Time, r Result, now time.Time) Belief {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(u, now)
+	before := s.belief
+	t.take(s, c, start, r, now)
+	s.belief = s.believe(now)
+	if s.belief == before {
+		return ""
+	}
+	return s.belief
+}
+
+// Belief is what a VM thinks of an upstream.
+type Belief string
+
+// The beliefs.
+const (
+	// Sound upstreams are used as their times suggest.
+	Sound Belief = "sound"
+	// Unreachable upstreams, and addresses that another upstream answers at,
+	// are used only if nothing else can be.
+	Unreachable Belief = "unreachable"
+	// Failing upstreams fail or shed at least half of the calls.
+	Failing Belief = "failing"
+)
+
+// failingPart and soundPart are the parts of failed calls from which on an
+// upstream counts as failing, and below which it counts as sound again.
+const (
+	failingPart = 0.5
+	soundPart   = 0.2
+)
+
+func (s *state) believe(now time.Time) Belief {
+	part := s.failing.get(now)
+	switch {
+	case now.Before(s.avoid):
+		return Unreachable
+	case part >= failingPart, s.belief == Failing && part >= soundPart:
+		return Failing
+	}
+	return Sound
+}
+
+func (t *Table) take(s *state, c Class, start time.Time, r Result, now time.Time) {
 	for i, at := range s.open {
 		if at.Equal(start) {
 			s.open = append(s.open[:i:i], s.open[i+1:]...)
--- a/internal/leverlog/log.go
+++ b/internal/leverlog/log.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -14,6 +15,7 @@
 type Logger struct {
 	base   log.Logger
 	prefix string
+	gate   *gate
 }
 
 // New returns a logger that writes lines in logfmt to w, from the least level
@@ -21,11 +23,13 @@
 func New(w io.Writer, least, vm string) Logger {
 	base := log.NewLogfmtLogger(log.NewSyncWriter(w))
 	base = log.With(base, "time", log.DefaultTimestampUTC, "vm", vm)
-	return Logger{base: level.NewFilter(base, level.Allow(level.ParseDefault(least, level.InfoValue())))}
+	return Logger{base: level.NewFilter(base, level.Allow(level.ParseDefault(least, level.InfoValue()))), gate: &gate{}}
 }
 
 // For returns the log of the part with the given prefix.
-func (l Logger) For(prefix string) Logger { return Logger{base: l.base, prefix: prefix + ": "} }
+func (l Logger) For(prefix string) Logger {
+	return Logger{base: l.base, prefix: prefix + ": ", gate: l.gate}
+}
 
 // Debug writes what helps to find a fault.
 func (l Logger) Debug(sentence string, pairs ...any) { l.write(level.Debug, sentence, pairs) }
@@ -43,6 +47,13 @@
 	if l.base == nil {
 		return
 	}
+	leftOut, ok := l.gate.pass(l.prefix+sentence, time.Now())
+	if !ok {
+		return
+	}
+	if leftOut > 0 {
+		pairs = append(pairs, "left-out", leftOut)
+	}
 	// A log that can't be written has nowhere to say so.
 	_ = at(l.base).Log(append([]any{"msg", l.prefix + sentence}, pairs...)...)
 }
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -9,14 +9,17 @@
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverbudget"
+	"arbutuslever.dev/lever/internal/levercrash"
 	"arbutuslever.dev/lever/internal/leverdelegate"
 	"arbutuslever.dev/lever/internal/leverdirectory"
 	"arbutuslever.dev/lever/internal/leverengine"
 	"arbutuslever.dev/lever/internal/leverevent"
 	"arbutuslever.dev/lever/internal/leverfeed"
 	"arbutuslever.dev/lever/internal/leverhealth"
+	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leverlog"
 	"arbutuslever.dev/lever/internal/levermember"
+	"arbutuslever.dev/lever/internal/levermetric"
 	"arbutuslever.dev/lever/internal/levermsg"
 	"arbutuslever.dev/lever/internal/leverpeer"
 	"arbutuslever.dev/lever/internal/leverpool"
@@ -47,6 +50,9 @@
 	probePeriod = 500 * time.Millisecond
 	// probeTimeout bounds such a question.
 	probeTimeout = 300 * time.Millisecond
+	// goneAfter is how long a VM must have been silent before its entry in the
+	// store is removed.
+	goneAfter = 2 * time.Minute
 	// unknownShare is this VM's part of what is shared while it knows no other.
 	unknownShare = 0.1
 )
@@ -56,8 +62,9 @@
 	Configs() leverfeed.Source[*leverdirectory.Config]
 	Upstreams() leverfeed.Source[leverdirectory.Upstream]
 	VMs() leverfeed.Source[levermsg.VM]
-	// Register writes the VM's own entry.
+	// Register writes the VM's own entry; Deregister removes one.
 	Register(ctx context.Context, vm levermsg.VM) error
+	Deregister(ctx context.Context, id leverid.VMID) error
 }
 
 // Options are what a node is made of.
@@ -70,6 +77,7 @@
 	// PeerKey is shown to other VMs, which must have the same.
 	PeerKey string
 	Log     leverlog.Logger
+	Metrics *levermetric.Set
 }
 
 // Node is one VM's process. New makes one.
@@ -93,6 +101,10 @@
 	vms       *leverfeed.Follower[levermsg.VM]
 	stopping  atomic.Bool
 	cancel    context.CancelFunc
+	// registered says that this VM's own entry was written.
+	registered atomic.Bool
+	register   chan struct{}
+	crashes    chan []levercrash.Entry
 }
 
 // New assembles a node.
@@ -101,13 +113,14 @@
 		opts: o, log: o.Log.For("node"), timer: &levertimer.Service{},
 		events: &leverevent.Line{VM: o.Self.ID}, counters: &leverevent.Counters{},
 		members: levermember.NewView(o.Self), board: leverrelay.NewBoard(),
-		budget: &leverbudget.Budget{Terms: o.Terms},
+		budget:   &leverbudget.Budget{Terms: o.Terms},
+		register: make(chan struct{}, 1), crashes: make(chan []levercrash.Entry, crashQueue),
 	}
 	directory := &leverdirectory.Directory{}
 	n.engine = &leverengine.Engine{
 		Domain: o.Self.Domain, Timer: n.timer, Log: o.Log.For("engine"), Directory: directory,
 		Health: &leverhealth.Table{}, Budget: n.budget, Pool: &leverpool.Pool{}, Protocol: o.Protocol,
-		Shares: n.shares, Current: n.board.Current,
+		Shares: n.shares, Current: n.board.Current, Crashes: &levercrash.Guard{}, OnCrash: n.tellCrashes, Metrics: o.Metrics,
 	}
 	directory.OnChange = n.engine.Changed
 	n.peerParts()
@@ -116,6 +129,10 @@
 	n.board.OnConfigs = n.takeConfigs
 	n.board.OnUpstreams = directory.SetUpstreams
 	n.board.OnVMs = n.takeVMs
+	n.board.OnCrashes = func(entries []levercrash.Entry) []levercrash.Entry {
+		return n.engine.Crashes.Merge(entries, n.timer.Now())
+	}
+	n.gauges()
 	return n
 }
 
@@ -180,10 +197,21 @@
 }
 
 func (n *Node) takeVMs(list []levermsg.VM) {
+	own := false
 	for i := range list {
 		list[i].State = levermsg.Live
+		own = own || list[i].ID == n.opts.Self.ID
+	}
+	if n.members.SetList(list) {
+		n.log.Info("the list of VMs has changed", "vms", len(list))
+	}
+	if !own && n.registered.Load() && !n.stopping.Load() {
+		// Another VM took this one for gone.
+		select {
+		case n.register <- struct{}{}:
+		default:
+		}
 	}
-	n.members.SetList(list)
 }
 
 // shares returns this VM's part of the upstreams' connections.
@@ -213,19 +241,25 @@
 	go n.runProbes(ctx)
 	go n.relay.Run(ctx)
 	go n.runShares(ctx)
+	go n.runCrashes(ctx)
 }
 
 func (n *Node) runPeers(ln net.Listener) { n.server.Run(ln) }
 
-// runRegister writes this VM's own entry.
+// runRegister writes this VM's own entry, and again if it is gone.
 func (n *Node) runRegister(ctx context.Context) {
 	for {
-		err := n.opts.Store.Register(ctx, n.opts.Self)
-		if err == nil {
-			return
+		if err := n.opts.Store.Register(ctx, n.opts.Self); err != nil {
+			n.log.Warn("this VM's entry could not be written", "err", err)
+			if !n.timer.Sleep(ctx, n.timer.Jitter(registerPause, 0.3)) {
+				return
+			}
+			continue
 		}
-		n.log.Warn("this VM's entry could not be written", "err", err)
-		if !n.timer.Sleep(ctx, n.timer.Jitter(registerPause, 0.3)) {
+		n.registered.Store(true)
+		select {
+		case <-n.register:
+		case <-ctx.Done():
 			return
 		}
 	}
@@ -244,21 +278,44 @@
 
 // runProbes asks the peers that count as down whether they answer again.
 func (n *Node) runProbes(ctx context.Context) {
+	silent := make(map[leverid.VMID]time.Time)
 	for n.timer.Sleep(ctx, probePeriod) {
 		for _, vm := range n.members.Probes(n.timer.Now()) {
-			n.probe(ctx, vm)
+			if n.probe(ctx, vm) {
+				delete(silent, vm.ID)
+				continue
+			}
+			since, ok := silent[vm.ID]
+			if !ok {
+				silent[vm.ID] = n.timer.Now()
+			} else if n.relay.Watches() && n.timer.Now().Sub(since) > goneAfter {
+				n.removeGone(ctx, vm.ID)
+				delete(silent, vm.ID)
+			}
 		}
 	}
 }
 
-func (n *Node) probe(ctx context.Context, vm levermsg.VM) {
+func (n *Node) probe(ctx context.Context, vm levermsg.VM) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	if err := n.relays.Ask(ctx, vm, leverpeer.KindPing, nil, nil); err != nil {
 		n.members.Failed(vm.ID, n.timer.Now())
+		return false
 	}
+	return true
+}
+
+// removeGone removes the entry of a VM that has long been silent. If it lives
+// after all, it writes its entry again.
+func (n *Node) removeGone(ctx context.Context, id leverid.VMID) {
+	err := n.opts.Store.Deregister(ctx, id)
+	n.log.Info("the entry of a silent VM is removed", "vm", id, "silent-for", goneAfter, "err", err)
 }
 
+// SetTerms changes the bound of extra attempts.
+func (n *Node) SetTerms(t leverbudget.Terms) { n.budget.SetTerms(t) }
+
 // Leave tells the balancer and the peers that the VM is stopping.
 func (n *Node) Leave() {
 	n.stopping.Store(true)
--- a/internal/levernode/peers.go
+++ b/internal/levernode/peers.go
@@ -55,6 +55,8 @@
 		return d.node.delegate.Serve(r)
 	case leverpeer.KindPing:
 		return r.Reply(nil, true)
+	case leverpeer.KindCrashes:
+		return d.node.serveCrashes(r)
 	}
 	return errors.NotSupportedf("request of kind %d", r.Kind)
 }
--- a/internal/leverpeer/frame.go
+++ b/internal/leverpeer/frame.go
@@ -49,6 +49,7 @@
 	KindFollow
 	KindRun
 	KindPing
+	KindCrashes
 	KindEnd
 )
 
--- a/internal/leverrelay/board.go
+++ b/internal/leverrelay/board.go
@@ -6,7 +6,9 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
+	"arbutuslever.dev/lever/internal/levercrash"
 	"arbutuslever.dev/lever/internal/leverdirectory"
 	"arbutuslever.dev/lever/internal/leverfeed"
 	"arbutuslever.dev/lever/internal/leverid"
@@ -28,6 +30,7 @@
 	Configs   Change[*leverdirectory.Config]  `msgpack:"f"`
 	Upstreams Change[leverdirectory.Upstream] `msgpack:"u"`
 	VMs       Change[levermsg.VM]             `msgpack:"v"`
+	Crashes   []Crash                         `msgpack:"h"`
 }
 
 // Board is what one VM knows of the store. NewBoard makes one. It is safe for
@@ -37,6 +40,9 @@
 	OnConfigs   func([]*leverdirectory.Config)
 	OnUpstreams func([]leverdirectory.Upstream)
 	OnVMs       func([]levermsg.VM)
+	// OnCrashes takes in what a parent tells of contents that crash upstreams,
+	// and returns what of it is news.
+	OnCrashes func([]levercrash.Entry) []levercrash.Entry
 
 	mu        sync.Mutex
 	epoch     uint64
@@ -47,6 +53,7 @@
 	configs   shelf[*leverdirectory.Config]
 	upstreams shelf[leverdirectory.Upstream]
 	vms       shelf[levermsg.VM]
+	crashes   map[leverid.Fingerprint]notedCrash
 }
 
 // NewBoard returns an empty board.
@@ -99,6 +106,14 @@
 	}
 	upstreams := b.upstreams.merge(u.Upstreams, u.Reset, b.seq) || first
 	b.note(configs, upstreams, b.vms.merge(u.VMs, u.Reset, b.seq))
+	if len(u.Crashes) > 0 {
+		now := time.Now()
+		entries := make([]levercrash.Entry, len(u.Crashes))
+		for i, c := range u.Crashes {
+			entries[i] = c.Entry(now)
+		}
+		b.addCrashes(b.OnCrashes(entries))
+	}
 }
 
 // SetPath says on which way this VM is in touch with the store. The last on it
@@ -155,5 +170,6 @@
 	return &Update{
 		Epoch: b.epoch, Seq: b.seq, Reset: reset, Path: b.path,
 		Configs: b.configs.since(seq), Upstreams: b.upstreams.since(seq), VMs: b.vms.since(seq),
+		Crashes: b.crashesSince(seq, time.Now()),
 	}, b.changed
 }
--- a/internal/leverrelay/relay.go
+++ b/internal/leverrelay/relay.go
@@ -64,6 +64,7 @@
 	// orphanSince is since when neither the store nor a current parent is
 	// reached.
 	orphanSince time.Time
+	watching    bool
 }
 
 // Run keeps the board up to date until ctx ends.
@@ -88,6 +89,7 @@
 			stop()
 			stop = nil
 		}
+		r.setWatching(stop != nil)
 		r.Board.SetPath(r.path(stop != nil))
 		select {
 		case <-every.C:
@@ -183,6 +185,10 @@
 func (r *Relay) runChild(ctx context.Context) {
 	last := make(map[leverid.VMID]Follow)
 	for ctx.Err() == nil {
+		if r.leads() {
+			r.Timer.Sleep(ctx, tick)
+			continue
+		}
 		for _, vm := range r.parents() {
 			f := last[vm.ID]
 			r.follow(ctx, vm, &f)
@@ -195,6 +201,10 @@
 	}
 }
 
+// leads reports whether this VM is the one that watches for all, and is in
+// touch with the store. It then needs no parent.
+func (r *Relay) leads() bool { return r.rank() == 0 && r.Watches() && r.StoreCurrent() }
+
 // follow takes in a parent's updates until it is lost, is not current, or is
 // not the best parent any more.
 func (r *Relay) follow(ctx context.Context, vm levermsg.VM, f *Follow) {
@@ -212,13 +222,13 @@
 		body, _, err := call.Next(wait)
 		stop()
 		if err != nil && wait.Err() != nil && ctx.Err() == nil {
-			if r.isParent(vm) && r.hasPath() {
+			if r.isParent(vm) && r.hasPath() && !r.leads() {
 				continue
 			}
 			return
 		}
 		if err != nil {
-			r.Log.Info("the parent is lost", "parent", vm.ID, "err", err)
+			r.Log.Debug("the parent is lost", "parent", vm.ID, "err", err)
 			return
 		}
 		var u Update
@@ -252,6 +262,27 @@
 	return len(parents) > 0 && parents[0].ID == vm.ID
 }
 
+// Watches reports whether this VM watches the store for others.
+func (r *Relay) Watches() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.watching
+}
+
+func (r *Relay) setWatching(watching bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watching = watching
+}
+
+// Watchers returns the VMs that watch the store or stand by for it, this one
+// excepted.
+func (r *Relay) Watchers() []levermsg.VM {
+	ranked := Ranked(r.Members.Live(r.Timer.Now()))
+	ranked = ranked[:min(watchers, len(ranked))]
+	return slices.DeleteFunc(ranked, func(vm levermsg.VM) bool { return vm.ID == r.Self })
+}
+
 func (r *Relay) hasPath() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -261,8 +292,11 @@
 func (r *Relay) setParent(id leverid.VMID, path []leverid.VMID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if id != r.parent && id != "" {
-		r.Log.Info("this VM follows a parent", "parent", id, "way-to-store", len(path))
+	if len(path) > 0 && len(r.parentPath) == 0 || len(path) > 0 && id != r.parent {
+		r.Log.Info("a parent leads to the store", "parent", id, "watched-by", path[0], "steps", len(path))
+	}
+	if len(path) == 0 && len(r.parentPath) > 0 {
+		r.Log.Info("the parent leads to the store no more", "parent", r.parent)
 	}
 	r.parent, r.parentPath = id, path
 }
