--- a/internal/leverfeed/follower.go
+++ b/internal/leverfeed/follower.go
@@ -77,12 +77,17 @@
 	// Wait bounds how long one watch is held by the store, and Grace how much
 	// longer it may take.
 	Wait, Grace time.Duration
+	// Base, if set, returns what is known of the collection, perhaps from
+	// elsewhere, before it is listed anew.
+	Base func() map[string]T
 	// Apply takes in the collection after each change, and the revision up to
 	// which it is known. It must not keep the map.
 	Apply func(items map[string]T, rev Revision)
 	// OnLost, if set, is called when the store has dropped the history. Other
 	// followers' watches may then hear nothing either.
 	OnLost func()
+	// OnFailed, if set, is called when the store is not in touch any more.
+	OnFailed func()
 
 	mu    sync.Mutex
 	lost  bool
@@ -109,12 +114,10 @@
 
 // Run follows the collection until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
-	if f.items == nil {
-		f.items = make(map[string]T)
-		f.missing = make(map[string]bool)
-	}
-	defer f.setLost()
-	f.relist = true
+	f.items = make(map[string]T)
+	f.missing = make(map[string]bool)
+	f.start()
+	defer f.setKnown(false)
 	for ctx.Err() == nil {
 		f.step(ctx)
 	}
@@ -165,6 +168,13 @@
 	}
 }
 
+// Doubt takes in that the store failed elsewhere: a long watch may not notice
+// an outage, in which objects were dropped that come back.
+func (f *Follower[T]) Doubt() {
+	f.setLost()
+	f.Relist()
+}
+
 func (f *Follower[T]) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -187,13 +197,21 @@
 	if err != nil {
 		return err
 	}
-	present := make(map[string]bool, len(b.Items))
+	f.noteRecovery()
+	old := f.items
+	if f.Base != nil {
+		old = f.Base()
+	}
+	f.items = make(map[string]T, len(b.Items))
+	clear(f.missing)
 	for _, it := range b.Items {
-		present[it.Name] = true
-		f.set(it)
+		if !it.Gone {
+			f.set(it)
+		}
 	}
-	for name := range f.items {
-		if !present[name] {
+	for name, v := range old {
+		if _, ok := f.items[name]; !ok {
+			f.items[name] = v
 			f.remove(name)
 		}
 	}
@@ -263,12 +281,36 @@
 
 func (f *Follower[T]) apply() { f.Apply(f.items, f.revision) }
 
+// start has the collection listed first.
+func (f *Follower[T]) start() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.relist, f.lost = true, false
+}
+
+func (f *Follower[T]) setKnown(known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.known = known
+}
+
+// noteRecovery notes the time of the first call that goes well after others
+// failed.
+func (f *Follower[T]) noteRecovery() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost {
+		f.recovered = f.Timer.Now()
+	}
+}
+
 // setLost notes that the store is not in touch. It reports whether it was.
 func (f *Follower[T]) setLost() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	first := !f.lost
-	f.lost = true
+	// What was missed meanwhile shows in a list.
+	f.lost, f.relist = true, true
 	return first
 }
 
@@ -277,6 +319,9 @@
 	f.pause = min(max(2*f.pause, firstPause), longestPause)
 	if first {
 		f.Log.Warn("the store is lost", "collection", f.Name, "revision", f.revision, "err", err)
+		if f.OnFailed != nil {
+			f.OnFailed()
+		}
 	}
 	f.Timer.Sleep(ctx, f.Timer.Jitter(f.pause, pauseJitter))
 }
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -39,7 +39,7 @@
 	configGrace = 600 * time.Millisecond
 	// lapseHold is how long the entries of upstreams that are missing after an
 	// outage are kept; they are back within about two seconds.
-	lapseHold = 2500 * time.Millisecond
+	lapseHold = 2200 * time.Millisecond
 	// registerPause is the pause before the VM's own entry is written again.
 	registerPause = time.Second
 	// relayQuiet and relayDead bound the silence of a parent in the relay: a
@@ -78,6 +78,8 @@
 	PeerKey string
 	Log     leverlog.Logger
 	Metrics *levermetric.Set
+	// Dial replaces the TCP dialer, in tests.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Node is one VM's process. New makes one.
@@ -101,6 +103,7 @@
 	vms       *leverfeed.Follower[levermsg.VM]
 	stopping  atomic.Bool
 	cancel    context.CancelFunc
+	listener  net.Listener
 	// registered says that this VM's own entry was written.
 	registered atomic.Bool
 	register   chan struct{}
@@ -119,7 +122,7 @@
 	directory := &leverdirectory.Directory{}
 	n.engine = &leverengine.Engine{
 		Domain: o.Self.Domain, Timer: n.timer, Log: o.Log.For("engine"), Directory: directory,
-		Health: &leverhealth.Table{}, Budget: n.budget, Pool: &leverpool.Pool{}, Protocol: o.Protocol,
+		Health: &leverhealth.Table{}, Budget: n.budget, Pool: &leverpool.Pool{Dial: o.Dial}, Protocol: o.Protocol,
 		Shares: n.shares, Current: n.board.Current, Crashes: &levercrash.Guard{}, OnCrash: n.tellCrashes, Metrics: o.Metrics,
 	}
 	directory.OnChange = n.engine.Changed
@@ -140,8 +143,8 @@
 	o := n.opts
 	keys := leverpeer.NewKeys(o.PeerKey)
 	h := &hooks{node: n}
-	n.relays = &leverpeer.Client{Self: o.Self, Keys: keys, Hooks: h, Timer: n.timer, Counters: n.counters, Quiet: relayQuiet, Dead: relayDead}
-	n.runs = &leverpeer.Client{Self: o.Self, Keys: keys, Hooks: h, Timer: n.timer, Counters: n.counters}
+	n.relays = &leverpeer.Client{Self: o.Self, Keys: keys, Hooks: h, Timer: n.timer, Counters: n.counters, Quiet: relayQuiet, Dead: relayDead, Dial: o.Dial}
+	n.runs = &leverpeer.Client{Self: o.Self, Keys: keys, Hooks: h, Timer: n.timer, Counters: n.counters, Dial: o.Dial}
 	n.relay = &leverrelay.Relay{
 		Self: o.Self.ID, Members: n.members, Peers: n.relays, Board: n.board, Timer: n.timer,
 		Log: o.Log.For("relay"), Seeds: o.Seeds, Watch: n.watch, StoreCurrent: n.storeCurrent,
@@ -158,10 +161,10 @@
 	log := o.Log.For("feed")
 	n.configs = &leverfeed.Follower[*leverdirectory.Config]{
 		Name: "configuration", Source: o.Store.Configs(), Timer: n.timer, Log: log, Pace: feedPace, Wait: configWait, Grace: configGrace,
-		OnLost: n.relist, Apply: n.board.SetConfigs,
+		OnLost: n.relist, OnFailed: n.doubt, Apply: n.board.SetConfigs,
 	}
 	n.upstreams = &leverfeed.Follower[leverdirectory.Upstream]{
-		Name: "upstreams", Source: o.Store.Upstreams(), Timer: n.timer, Log: log, Pace: feedPace, Hold: lapseHold,
+		Name: "upstreams", Source: o.Store.Upstreams(), Timer: n.timer, Log: log, Pace: feedPace, Hold: lapseHold, Base: n.board.Upstreams,
 		Apply: n.board.SetUpstreams,
 	}
 	n.vms = &leverfeed.Follower[levermsg.VM]{
@@ -175,6 +178,12 @@
 	n.vms.Relist()
 }
 
+// doubt follows an outage.
+func (n *Node) doubt() {
+	n.upstreams.Doubt()
+	n.vms.Doubt()
+}
+
 // watch watches the store until ctx ends.
 func (n *Node) watch(ctx context.Context) {
 	go n.runConfigs(ctx)
@@ -223,6 +232,9 @@
 	return n.delegate.Share(), 1 / float64(listed)
 }
 
+// Runs reports whether this VM runs the fan-outs of its failure domain.
+func (n *Node) Runs() bool { return n.delegate.Runs() }
+
 // Engine returns the part that runs requests.
 func (n *Node) Engine() *leverengine.Engine { return n.engine }
 
@@ -236,6 +248,7 @@
 func (n *Node) Start(peers net.Listener) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
+	n.listener = peers
 	go n.runPeers(peers)
 	go n.runRegister(ctx)
 	go n.runProbes(ctx)
@@ -331,4 +344,8 @@
 	n.cancel()
 	n.relays.Close()
 	n.runs.Close()
+	// An error means that the listener is closed already.
+	_ = n.listener.Close()
+	n.server.Close()
+	n.engine.Pool.Close()
 }
--- a/internal/leverpool/exchange.go
+++ b/internal/leverpool/exchange.go
@@ -151,7 +151,9 @@
 		x.end(nil, errors.Annotate(ErrNotSent, "given up"))
 		return
 	}
-	raw, err := dialer.DialContext(context.Background(), "tcp4", x.target.Upstream.Address)
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	raw, err := x.pool.dial(ctx, x.target.Upstream.Address)
 	if err != nil {
 		x.pool.drop(x.host, nil, true)
 		x.end(nil, errors.Annotate(ErrNotSent, err.Error()))
--- a/internal/leverpool/pool.go
+++ b/internal/leverpool/pool.go
@@ -4,6 +4,7 @@
 package leverpool
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -48,6 +49,9 @@
 // Pool keeps the connections to all upstreams. The zero value is ready to use.
 // It is safe for concurrent use.
 type Pool struct {
+	// Dial replaces the TCP dialer, in tests.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
 	mu    sync.Mutex
 	hosts map[leverdirectory.Key]*host
 	stats Stats
@@ -104,6 +108,10 @@
 	}
 }
 
+// Close closes the idle connections. Connections in use are closed when their
+// calls end.
+func (p *Pool) Close() { p.Retain(func(leverdirectory.Key) bool { return false }) }
+
 // place finds a connection for an exchange. Without one it makes room for a new
 // connection, or lets the exchange wait.
 func (p *Pool) place(x *Exchange) (c *conn, dial bool) {
@@ -230,6 +238,13 @@
 	return false
 }
 
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	if p.Dial != nil {
+		return p.Dial(ctx, address)
+	}
+	return dialer.DialContext(ctx, "tcp4", address)
+}
+
 var dialer = net.Dialer{
 	Timeout:         dialTimeout,
 	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeGap, Count: 3},
--- a/internal/leverrelay/board.go
+++ b/internal/leverrelay/board.go
@@ -85,6 +85,13 @@
 	b.note(false, b.upstreams.replace(items, rev, b.seq) || first, false)
 }
 
+// Upstreams returns the entries of upstreams that are known.
+func (b *Board) Upstreams() map[string]leverdirectory.Upstream {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.upstreams.items()
+}
+
 // SetVMs takes in the store's entries of VMs.
 func (b *Board) SetVMs(items map[string]levermsg.VM, rev leverfeed.Revision) {
 	b.mu.Lock()
--- a/internal/leverrelay/shelf.go
+++ b/internal/leverrelay/shelf.go
@@ -93,6 +93,17 @@
 	return c
 }
 
+// items returns the items that are present, by name.
+func (s *shelf[T]) items() map[string]T {
+	out := make(map[string]T, len(s.slots))
+	for name, v := range s.slots {
+		if !v.gone {
+			out[name] = v.value
+		}
+	}
+	return out
+}
+
 // values returns the items that are present.
 func (s *shelf[T]) values() []T {
 	out := make([]T, 0, len(s.slots))
--- /dev/null
+++ b/internal/levertest/listener.go
@@ -0,0 +1,50 @@
+package levertest
+
+import (
+	"net"
+	"sync"
+)
+
+// Listener is a net.Listener on a Net. It is safe for concurrent use.
+type Listener struct {
+	host  string
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+// backlog is the number of connections that wait to be accepted.
+const backlog = 1024
+
+// Listener listens at host.
+func (n *Net) Listener(host string) *Listener {
+	l := &Listener{host: host, conns: make(chan net.Conn, backlog), done: make(chan struct{})}
+	n.Listen(host, func(c net.Conn) {
+		select {
+		case <-l.done:
+			_ = c.Close()
+		default:
+			l.conns <- c
+		}
+	})
+	return l
+}
+
+// Accept returns the next connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends the listening.
+func (l *Listener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+// Addr returns the host.
+func (l *Listener) Addr() net.Addr { return hostAddr(l.host) }
