internal/leverpool, internal/leverrank, internal/leverrelay: come back faster after all processes died

Change: an upstream that ends a new connection gets no more of them for a second; a window takes at most 0.4 of the room, and none in the first 3 s; seeds get 0.45 s. Ruled out: the store (it answered within 10 ms, some calls with 429).

--- a/internal/leverengine/crash.go
+++ b/internal/leverengine/crash.go
@@ -60,7 +60,7 @@
 		if f.trial {
 			f.cleared(now)
 		}
-	case errors.Is(a.err, leverpool.ErrReset):
+	case errors.Is(a.err, leverpool.ErrReset), errors.Is(a.err, leverpool.ErrTurnedAway):
 		level, news := e.Crashes.Reset(levercrash.Reset{
 			Fingerprint: f.fingerprint, Service: f.parts[a.part].service, Upstream: a.upstream.ID, Shard: shard, Trial: f.trial,
 		}, now)
--- a/internal/levernode/gauges.go
+++ b/internal/levernode/gauges.go
@@ -27,11 +27,12 @@
 	m.Gauge("peer-connections", func() float64 { return float64(n.relays.Connections() + n.runs.Connections()) })
 	m.Gauge("answer-lag-ms", func() float64 { return n.engine.Lag().Seconds() * 1000 })
 	for name, value := range map[string]func(leverpool.Stats) int64{
-		"upstream-connections-made":   func(s leverpool.Stats) int64 { return s.Dialed },
-		"upstream-connections-failed": func(s leverpool.Stats) int64 { return s.Failed },
-		"upstream-connections-reused": func(s leverpool.Stats) int64 { return s.Reused },
-		"upstream-connections-open":   func(s leverpool.Stats) int64 { return s.Open },
-		"calls-waiting-for-one":       func(s leverpool.Stats) int64 { return s.Waiting },
+		"upstream-connections-made":        func(s leverpool.Stats) int64 { return s.Dialed },
+		"upstream-connections-failed":      func(s leverpool.Stats) int64 { return s.Failed },
+		"upstream-connections-reused":      func(s leverpool.Stats) int64 { return s.Reused },
+		"upstream-connections-turned-away": func(s leverpool.Stats) int64 { return s.TurnedAway },
+		"upstream-connections-open":        func(s leverpool.Stats) int64 { return s.Open },
+		"calls-waiting-for-one":            func(s leverpool.Stats) int64 { return s.Waiting },
 	} {
 		m.Gauge(name, func() float64 { return float64(value(n.engine.Pool.Stats())) })
 	}
--- a/internal/leverpool/conn.go
+++ b/internal/leverpool/conn.go
@@ -31,6 +31,10 @@
 	idleSince time.Time
 	idleLimit time.Duration
 
+	// answered says that the connection has carried an answer. Only its loop
+	// uses it.
+	answered bool
+
 	mu sync.Mutex
 	// pending is the exchange whose answer is due.
 	pending  *Exchange
@@ -95,9 +99,16 @@
 	if err != nil {
 		// An exchange that begins now finds the connection closed.
 		c.close()
-		if x := c.take(); x != nil {
-			x.end(nil, errors.Annotate(ErrReset, err.Error()))
+		x := c.take()
+		if x == nil {
+			return false
+		}
+		if !c.answered {
+			c.pool.turnedAway(c.host)
+			x.end(nil, errors.Annotate(ErrTurnedAway, err.Error()))
+			return false
 		}
+		x.end(nil, errors.Annotate(ErrReset, err.Error()))
 		return false
 	}
 	x := c.present()
@@ -111,6 +122,7 @@
 		x.end(reply, err)
 		return false
 	}
+	c.answered = true
 	c.take()
 	// From here on Cancel leaves the connection alone.
 	x.settle()
--- a/internal/leverpool/pool.go
+++ b/internal/leverpool/pool.go
@@ -21,6 +21,9 @@
 	// ErrReset means that the connection ended after the request had been sent
 	// and before an answer began.
 	ErrReset = errors.ConstError("connection ended without an answer")
+	// ErrTurnedAway is an ErrReset of a new connection: the upstream may hold
+	// as many as it takes, or may have run the request.
+	ErrTurnedAway = errors.ConstError("new connection ended without an answer")
 	// ErrBroken means that the answer was not whole or not an answer.
 	ErrBroken = errors.ConstError("answer is not whole")
 	// ErrCanceled means that the request was sent and given up.
@@ -62,6 +65,8 @@
 	// Dialed and Failed count the connections that were made and that could
 	// not be made, Reused the calls on kept ones.
 	Dialed, Failed, Reused int64
+	// TurnedAway counts the new connections that ended without an answer.
+	TurnedAway int64
 	// Open and Waiting are the present connections and the calls that wait for
 	// one.
 	Open, Waiting int64
@@ -86,6 +91,21 @@
 	open    int
 	waiters []*Exchange
 	gone    bool
+	// cap bounds the connections until capUntil: the upstream has turned a new
+	// one away, as it holds as many as it takes.
+	cap      int
+	capUntil time.Time
+}
+
+// capTime is how long a connection that was turned away bounds the others.
+const capTime = time.Second
+
+// limit returns how many connections may be open.
+func (h *host) limit(most int, now time.Time) int {
+	if now.Before(h.capUntil) {
+		most = min(most, h.cap)
+	}
+	return max(most, 1)
 }
 
 // Retain closes the idle connections to upstreams that known refuses.
@@ -122,7 +142,7 @@
 	if c := p.reuse(h, x.target.Once); c != nil {
 		return c, false
 	}
-	if h.open < max(x.target.MaxConnections, 1) {
+	if h.open < h.limit(x.target.MaxConnections, time.Now()) {
 		h.open++
 		return nil, true
 	}
@@ -193,6 +213,16 @@
 	}
 }
 
+// turnedAway takes in that an upstream ended a connection that had carried no
+// answer.
+func (p *Pool) turnedAway(h *host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stats.TurnedAway++
+	h.cap = max(h.open-1, 1)
+	h.capUntil = time.Now().Add(capTime)
+}
+
 // drop takes in that a connection has ended, or could not be made.
 func (p *Pool) drop(h *host, c *conn, failed bool) {
 	p.mu.Lock()
--- a/internal/leverrank/room.go
+++ b/internal/leverrank/room.go
@@ -19,7 +19,13 @@
 	// roomCut and roomGrowth change the room after a window that was too slow
 	// and after one that was not.
 	roomCut    = 0.9
-	roomGrowth = 1.08
+	roomGrowth = 1.12
+	// roomLeast is the part of the work that was let in which one window leaves
+	// at least: in the window after a restart little is done yet.
+	roomLeast = 0.6
+	// roomStart is how long after its first request a group is not judged: its
+	// connections and upstreams are cold.
+	roomStart = 3 * time.Second
 	// roomSpare is the multiple of the demand from which on there is no limit.
 	roomSpare = 1.5
 )
@@ -41,11 +47,11 @@
 	fraction [leverid.RankCount]float64
 	carry    [leverid.RankCount]float64
 
-	begun       time.Time
-	admitted    float64
-	done        float64
-	calls, slow int
-	overloaded  int
+	first, begun time.Time
+	admitted     float64
+	done         float64
+	calls, slow  int
+	overloaded   int
 }
 
 // Admit counts offered work, in seconds, and reports whether it is let in.
@@ -90,14 +96,16 @@
 
 func (r *Room) roll(now time.Time) {
 	if r.begun.IsZero() {
-		r.begun = now
+		r.begun, r.first = now, now
 		return
 	}
 	elapsed := now.Sub(r.begun)
 	if elapsed < roomWindow {
 		return
 	}
-	r.judge(min(r.admitted, r.done) / elapsed.Seconds())
+	if now.Sub(r.first) > roomStart {
+		r.judge(max(roomCut*min(r.admitted, r.done), roomLeast*r.admitted) / elapsed.Seconds())
+	}
 	demand := r.demand.Rates(now)
 	total := 0.0
 	for _, d := range demand {
@@ -110,8 +118,8 @@
 	r.begun, r.admitted, r.done, r.calls, r.slow = now, 0, 0, 0, 0
 }
 
-// judge changes the room after a window. rate is the work that was let in and
-// done.
+// judge changes the room after a window. rate is what is let in if the window
+// was too slow.
 func (r *Room) judge(rate float64) {
 	switch {
 	case r.calls < roomCalls:
@@ -122,7 +130,7 @@
 		r.overloaded = 0
 	default:
 		if r.overloaded++; r.overloaded > 1 {
-			r.room = roomCut * rate
+			r.room = rate
 		}
 	}
 }
--- a/internal/leverrelay/relay.go
+++ b/internal/leverrelay/relay.go
@@ -28,7 +28,7 @@
 	orphanPatience = 500 * time.Millisecond
 	orphanSpread   = 1500 * time.Millisecond
 	// bootPatience is how long a VM that has just started waits for its seeds.
-	bootPatience = 1200 * time.Millisecond
+	bootPatience = 450 * time.Millisecond
 	// retryPause is the pause after a parent could not be followed.
 	retryPause = 100 * time.Millisecond
 	// replyGap is the least time between two updates for one child.
