--- a/internal/leverdelegate/delegate.go
+++ b/internal/leverdelegate/delegate.go
@@ -266,6 +266,7 @@
 	if r.Declined != "" {
 		return nil, errors.Errorf("declined: %s", r.Declined)
 	}
+	taken := d.Timer.Now()
 	// From here on the runner may make second attempts.
 	err = call.Signal(nil)
 	if err == nil {
@@ -275,6 +276,10 @@
 		d.doubt(vm.ID)
 		return nil, errors.Annotate(errLost, err.Error())
 	}
+	if r.Verdict != leverengine.Merged || r.Missing > 0 {
+		d.Log.Info("a delegated request ended", "id", req.ID, "runner", vm.ID, "verdict", r.Verdict, "missing", r.Missing,
+			"config", v, "took", d.Timer.Now().Sub(taken), "reason", r.Reason)
+	}
 	return &leverengine.Outcome{
 		Verdict: r.Verdict, At: d.Timer.Now(), Reply: r.Upstream, Records: r.Records, Signatures: r.Signatures,
 		Missing: r.Missing, RetryAfter: r.RetryAfter, Reason: r.Reason,
--- a/internal/leverengine/attempt.go
+++ b/internal/leverengine/attempt.go
@@ -28,14 +28,16 @@
 // ran reports whether the upstream may have run the request.
 func (a *attempt) ran() bool {
 	switch a.kind {
-	case leverhealth.Shed, leverhealth.Elsewhere, leverhealth.Refused:
+	case leverhealth.Shed, leverhealth.Elsewhere, leverhealth.Refused, leverhealth.Withdrawn:
 		return false
 	}
 	return true
 }
 
 // arrived reports whether the request may have reached the upstream.
-func (a *attempt) arrived() bool { return a.kind != leverhealth.Refused }
+func (a *attempt) arrived() bool {
+	return a.kind != leverhealth.Refused && a.kind != leverhealth.Withdrawn
+}
 
 // send sends the call.
 func (a *attempt) send() {
@@ -76,6 +78,8 @@
 	switch {
 	case errors.Is(a.err, leverpool.ErrNotSent):
 		return leverhealth.Refused
+	case errors.Is(a.err, leverpool.ErrWithdrawn):
+		return leverhealth.Withdrawn
 	case errors.Is(a.err, leverpool.ErrCanceled):
 		return leverhealth.GivenUp
 	case a.err != nil:
--- a/internal/leverengine/conclude.go
+++ b/internal/leverengine/conclude.go
@@ -29,6 +29,8 @@
 		return f.merge(done, now)
 	case late:
 		return &Outcome{Verdict: Late, Reason: f.reason}
+	case f.trial && f.parts[f.trialPart].dead:
+		return f.giveUp()
 	case float64(settled-done) > (1-f.route.LeastCoverage)*float64(len(f.parts)):
 		return f.giveUp()
 	}
--- a/internal/leverengine/crash.go
+++ b/internal/leverengine/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"arbutuslever.dev/lever/internal/levercrash"
@@ -36,6 +37,28 @@
 	return &Outcome{Verdict: NotRun, RetryAfter: barredComeBack, Reason: "the content crashed upstreams"}
 }
 
+// turnedTime is how long one content that was turned away speaks for others.
+const turnedTime = time.Second
+
+// turned remembers which content was last turned away on a new connection.
+// Contents that are turned away together did not crash the upstreams. The zero
+// value is ready to use. It is safe for concurrent use.
+type turned struct {
+	mu   sync.Mutex
+	last leverid.Fingerprint
+	at   time.Time
+}
+
+// only notes that content was turned away, and reports whether no other was
+// lately.
+func (t *turned) only(f leverid.Fingerprint, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	only := t.last == f || now.Sub(t.at) > turnedTime
+	t.last, t.at = f, now
+	return only
+}
+
 // partOf returns the part that an upstream belongs to.
 func (f *fanout) partOf(id leverid.UpstreamID) int {
 	v := f.engine.Directory.View()
@@ -60,6 +83,8 @@
 		if f.trial {
 			f.cleared(now)
 		}
+	case errors.Is(a.err, leverpool.ErrTurnedAway) && !e.turned.only(f.fingerprint, now):
+		// The upstream holds as many connections as it takes.
 	case errors.Is(a.err, leverpool.ErrReset), errors.Is(a.err, leverpool.ErrTurnedAway):
 		level, news := e.Crashes.Reset(levercrash.Reset{
 			Fingerprint: f.fingerprint, Service: f.parts[a.part].service, Upstream: a.upstream.ID, Shard: shard, Trial: f.trial,
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -43,6 +43,7 @@
 	splits   splits
 	lag      lag
 	rooms    rooms
+	turned   turned
 	inFlight atomic.Int64
 }
 
@@ -92,11 +93,11 @@
 	defer e.inFlight.Add(-1)
 	v := e.Directory.View()
 	if !v.Usable() {
-		return &Outcome{Verdict: NotReady, RetryAfter: comeBack, Reason: "no configuration or no list of upstreams"}
+		return e.unrouted(req, v, &Outcome{Verdict: NotReady, RetryAfter: comeBack, Reason: "no configuration or no list of upstreams"})
 	}
 	route := v.Config.Route(req.Host, req.Path)
 	if route == nil {
-		return e.noRoute()
+		return e.unrouted(req, v, e.noRoute())
 	}
 	if d != nil && len(route.Shards) > 0 {
 		if out, ok := d.Run(ctx, req, v.Config.Version, route.MaxAttempts); ok {
@@ -112,6 +113,18 @@
 	return out
 }
 
+// unrouted logs a request that can't be routed.
+func (e *Engine) unrouted(req *Request, v *leverdirectory.View, out *Outcome) *Outcome {
+	version := leverid.ConfigVersion(0)
+	if v.Config != nil {
+		version = v.Config.Version
+	}
+	e.Metrics.Add(levermetric.Name("requests", "verdict", out.Verdict.String(), "rank", "none"), 1)
+	e.Log.Info("a request can't be routed", "id", req.ID, "verdict", out.Verdict, "host", req.Host, "path", req.Path,
+		"config", version, "upstreams-known", v.UpstreamsKnown, "current", e.Current(), "reason", out.Reason)
+	return out
+}
+
 // noRoute says that there is no route only if the configuration is up to date.
 func (e *Engine) noRoute() *Outcome {
 	if !e.Current() {
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -318,7 +318,7 @@
 	case once && r.ran(),
 		p.runs >= f.mostRuns(),
 		!f.gather && p.declined >= refusals,
-		f.trial,
+		f.trial && r.ran(),
 		!f.engine.Timer.Now().Before(f.deadline):
 		p.dead = p.open == 0
 	case p.open > 0:
--- a/internal/leverengine/story.go
+++ b/internal/leverengine/story.go
@@ -1,6 +1,8 @@
 package leverengine
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverhealth"
@@ -10,7 +12,7 @@
 var resultNames = map[leverhealth.Result]string{
 	leverhealth.Good: "good", leverhealth.Shed: "shed", leverhealth.Elsewhere: "elsewhere",
 	leverhealth.Failed: "failed", leverhealth.Reset: "reset", leverhealth.Refused: "refused",
-	leverhealth.GivenUp: "given-up",
+	leverhealth.GivenUp: "given-up", leverhealth.Withdrawn: "withdrawn",
 }
 
 // round is the precision of times in the log.
@@ -50,6 +52,31 @@
 	f.engine.Log.Info("the budget allows no extra attempt", "id", f.req.ID, "use", what, "part", part, "service", f.parts[part].service)
 }
 
+// openPartsShown bounds the parts that one line names.
+const openPartsShown = 4
+
+// openParts names the parts that are not in, with the upstream that was tried
+// last.
+func (f *fanout) openParts() string {
+	var b strings.Builder
+	shown := 0
+	for i := range f.parts {
+		p := &f.parts[i]
+		if p.done || len(p.tried) == 0 {
+			continue
+		}
+		if shown++; shown > openPartsShown {
+			b.WriteString(" and more")
+			break
+		}
+		if b.Len() > 0 {
+			b.WriteString(", ")
+		}
+		fmt.Fprintf(&b, "%s tried %d, last at %s", p.service, len(p.tried), p.tried[len(p.tried)-1].ID)
+	}
+	return b.String()
+}
+
 // end logs how the request ended and counts it.
 func (f *fanout) end(out *Outcome) {
 	e := f.engine
@@ -65,5 +92,5 @@
 	}
 	e.Log.Info("a request ended", "id", f.req.ID, "route", f.route.Name, "rank", rank, "verdict", out.Verdict,
 		"config", f.version, "parts", len(f.parts), "missing", out.Missing, "hedged", f.hedged, "retried", f.retried,
-		"took", took.Round(round), "objective", f.route.Objective, "age-at-begin", f.begun.Sub(f.req.Received).Round(round), "reason", out.Reason)
+		"took", took.Round(round), "objective", f.route.Objective, "open", f.openParts(), "age-at-begin", f.begun.Sub(f.req.Received).Round(round), "reason", out.Reason)
 }
--- a/internal/leverhealth/table.go
+++ b/internal/leverhealth/table.go
@@ -31,8 +31,10 @@
 	Reset
 	// Refused means that no connection could be made.
 	Refused
-	// GivenUp says nothing about the upstream: the call was not waited for.
+	// GivenUp means that the call was not waited for any longer.
 	GivenUp
+	// Withdrawn means that the call was given up before it was sent.
+	Withdrawn
 )
 
 const (
--- a/internal/leverpool/exchange.go
+++ b/internal/leverpool/exchange.go
@@ -85,7 +85,7 @@
 // Send sends a call with the headers of one attempt. accept decides by the
 // head whether the answer belongs to the call. done is called once, from any
 // goroutine and perhaps before Send returns, with the whole answer or an error:
-// ErrNotSent, ErrReset, ErrBroken or ErrCanceled.
+// ErrNotSent, ErrWithdrawn, ErrReset, ErrTurnedAway, ErrBroken or ErrCanceled.
 func (p *Pool) Send(t Target, call *Call, extra http.Header, accept func(*http.Response) error, done func(*Reply, error)) *Exchange {
 	x := &Exchange{pool: p, target: t, call: call, extra: extra, accept: accept, done: done}
 	x.place()
@@ -106,7 +106,7 @@
 // drops the request.
 func (x *Exchange) Cancel() {
 	if x.cut() && x.pool.leave(x) {
-		x.end(nil, errors.Annotate(ErrNotSent, "given up while all connections were busy"))
+		x.end(nil, errors.Annotate(ErrWithdrawn, "all connections were busy"))
 	}
 }
 
@@ -122,7 +122,7 @@
 	x.canceled = true
 	x.mu.Unlock()
 	if x.pool.leave(x) {
-		x.end(nil, errors.Annotate(ErrNotSent, "given up while all connections were busy"))
+		x.end(nil, errors.Annotate(ErrWithdrawn, "all connections were busy"))
 	}
 	return true
 }
@@ -148,7 +148,7 @@
 func (x *Exchange) runDial() {
 	if x.isCanceled() {
 		x.pool.drop(x.host, nil, false)
-		x.end(nil, errors.Annotate(ErrNotSent, "given up"))
+		x.end(nil, errors.Annotate(ErrWithdrawn, "no connection yet"))
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
@@ -163,7 +163,7 @@
 	go c.run()
 	if x.isCanceled() {
 		x.pool.give(c)
-		x.end(nil, errors.Annotate(ErrNotSent, "given up"))
+		x.end(nil, errors.Annotate(ErrWithdrawn, "no connection yet"))
 		return
 	}
 	x.begin(c)
@@ -189,7 +189,7 @@
 	x.mu.Unlock()
 	if canceled {
 		x.pool.give(c)
-		x.end(nil, errors.Annotate(ErrNotSent, "given up"))
+		x.end(nil, errors.Annotate(ErrWithdrawn, "no connection yet"))
 		return
 	}
 	if !c.expect(x) {
--- a/internal/leverpool/pool.go
+++ b/internal/leverpool/pool.go
@@ -18,6 +18,9 @@
 const (
 	// ErrNotSent means that no byte of the request left.
 	ErrNotSent = errors.ConstError("request was not sent")
+	// ErrWithdrawn is an ErrNotSent of a call that was given up: it tells
+	// nothing about the upstream.
+	ErrWithdrawn = errors.ConstError("call was withdrawn")
 	// ErrReset means that the connection ended after the request had been sent
 	// and before an answer began.
 	ErrReset = errors.ConstError("connection ended without an answer")
