--- /dev/null
+++ b/internal/leverfeed/follower_test.go
@@ -0,0 +1,213 @@
+package leverfeed_test
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutuslever.dev/lever/internal/leverfeed"
+	"arbutuslever.dev/lever/internal/levertimer"
+
+	"github.com/matryer/is"
+)
+
+// source is a collection whose calls can be made to fail.
+type source struct {
+	mu       sync.Mutex
+	revision leverfeed.Revision
+	items    map[string]int
+	news     []leverfeed.Item[int]
+	changed  chan struct{}
+	err      error
+	deaf     bool
+	calls    int
+}
+
+func (s *source) set(name string, v int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.items == nil {
+		s.items = make(map[string]int)
+	}
+	s.items[name] = v
+	s.note(leverfeed.Item[int]{Name: name, Value: v})
+}
+
+func (s *source) remove(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.items, name)
+	s.note(leverfeed.Item[int]{Name: name, Gone: true})
+}
+
+func (s *source) note(it leverfeed.Item[int]) {
+	s.revision++
+	s.news = append(s.news, it)
+	if s.changed != nil && !s.deaf {
+		close(s.changed)
+		s.changed = nil
+	}
+}
+
+func (s *source) fail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err = err
+}
+
+func (s *source) List(context.Context) (leverfeed.Batch[int], error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	b := leverfeed.Batch[int]{Revision: s.revision}
+	for name, v := range s.items {
+		b.Items = append(b.Items, leverfeed.Item[int]{Name: name, Value: v})
+	}
+	return b, s.err
+}
+
+func (s *source) Watch(ctx context.Context, since leverfeed.Revision, wait time.Duration) (leverfeed.Batch[int], error) {
+	s.mu.Lock()
+	s.calls++
+	if s.err != nil {
+		defer s.mu.Unlock()
+		return leverfeed.Batch[int]{}, s.err
+	}
+	if since == s.revision {
+		if s.changed == nil {
+			s.changed = make(chan struct{})
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return leverfeed.Batch[int]{}, ctx.Err()
+		}
+		s.mu.Lock()
+	}
+	defer s.mu.Unlock()
+	if s.err != nil {
+		return leverfeed.Batch[int]{}, s.err
+	}
+	return leverfeed.Batch[int]{Revision: s.revision, Items: s.news[since:]}, nil
+}
+
+// state is what the follower applied last.
+type state struct {
+	mu    sync.Mutex
+	items map[string]int
+}
+
+func (s *state) apply(items map[string]int, _ leverfeed.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items = maps.Clone(items)
+}
+
+func (s *state) has(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.items[name]
+	return ok
+}
+
+const hold = 2 * time.Second
+
+// follow runs a follower on virtual time while act acts.
+func follow(t *testing.T, act func(is *is.I, s *source, f *leverfeed.Follower[int], got *state)) {
+	synctest.Test(t, func(t *testing.T) {
+		s, got := &source{}, &state{}
+		s.set("a", 1)
+		s.set("b", 1)
+		f := &leverfeed.Follower[int]{Name: "test", Source: s, Timer: &levertimer.Service{}, Pace: 100 * time.Millisecond, Hold: hold, Apply: got.apply}
+		ctx, cancel := context.WithCancel(context.Background())
+		r := &runner{follower: f, done: make(chan struct{})}
+		go r.run(ctx)
+		time.Sleep(time.Second)
+		act(is.New(t), s, f, got)
+		cancel()
+		<-r.done
+	})
+}
+
+type runner struct {
+	follower *leverfeed.Follower[int]
+	done     chan struct{}
+}
+
+func (r *runner) run(ctx context.Context) {
+	defer close(r.done)
+	r.follower.Run(ctx)
+}
+
+func TestFollow(t *testing.T) {
+	follow(t, func(is *is.I, s *source, f *leverfeed.Follower[int], got *state) {
+		is.True(got.has("a"))
+		is.True(f.Current())
+		s.set("c", 1)
+		s.remove("a")
+		time.Sleep(300 * time.Millisecond)
+		is.True(got.has("c"))
+		is.True(!got.has("a"))
+	})
+}
+
+// TestPace: changes that come close together cost few calls.
+func TestPace(t *testing.T) {
+	follow(t, func(is *is.I, s *source, _ *leverfeed.Follower[int], _ *state) {
+		before := s.calls
+		for range 100 {
+			s.set("c", 1)
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(s.calls-before <= 11)
+	})
+}
+
+func TestHold(t *testing.T) {
+	cases := map[string]struct {
+		back bool
+		want bool
+	}{
+		"comes back": {true, true},
+		"is gone":    {false, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			follow(t, func(is *is.I, s *source, f *leverfeed.Follower[int], got *state) {
+				s.fail(errors.New("down"))
+				f.Doubt()
+				time.Sleep(3 * time.Second)
+				is.True(!f.Current())
+				s.remove("a")
+				s.fail(nil)
+				time.Sleep(1500 * time.Millisecond)
+				is.True(got.has("a")) // held
+				if c.back {
+					s.set("a", 2)
+				}
+				time.Sleep(3 * time.Second)
+				is.Equal(got.has("a"), c.want)
+				is.True(got.has("b"))
+			})
+		})
+	}
+}
+
+func TestHistoryLost(t *testing.T) {
+	follow(t, func(is *is.I, s *source, f *leverfeed.Follower[int], got *state) {
+		lost := 0
+		f.OnLost = func() { lost++; s.fail(nil) }
+		s.fail(leverfeed.ErrHistoryLost)
+		s.set("c", 1)
+		time.Sleep(2 * time.Second)
+		is.True(lost > 0)
+		is.True(got.has("c"))
+	})
+}
--- a/internal/leverpool/conn.go
+++ b/internal/leverpool/conn.go
@@ -58,16 +58,17 @@
 	_ = c.Conn.Close()
 }
 
-// expect makes x the exchange whose answer is due. It returns false if the
-// connection has ended.
-func (c *conn) expect(x *Exchange) bool {
+// expect makes x the exchange whose answer is due. A long request may still be
+// on its way out when its answer comes. expect returns false if the connection
+// has ended.
+func (c *conn) expect(x *Exchange, long bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return false
 	}
 	c.pending = x
-	c.writing = true
+	c.writing = long
 	return true
 }
 
--- a/internal/leverpool/exchange.go
+++ b/internal/leverpool/exchange.go
@@ -192,7 +192,9 @@
 		x.end(nil, errors.Annotate(ErrWithdrawn, "no connection yet"))
 		return
 	}
-	if !c.expect(x) {
+	data := x.call.encode(x.extra)
+	long := len(data) > smallRequest
+	if !c.expect(x, long) {
 		// The connection has just ended.
 		x.mu.Lock()
 		x.conn = nil
@@ -200,12 +202,11 @@
 		x.place()
 		return
 	}
-	data := x.call.encode(x.extra)
-	if len(data) <= smallRequest {
-		c.write(data)
+	if long {
+		go x.runWrite(c, data)
 		return
 	}
-	go x.runWrite(c, data)
+	c.write(data)
 }
 
 func (x *Exchange) runWrite(c *conn, data []byte) { c.write(data) }
--- /dev/null
+++ b/internal/leverrank/room_test.go
@@ -0,0 +1,86 @@
+package leverrank_test
+
+import (
+	"testing"
+	"time"
+
+	"arbutuslever.dev/lever/internal/leverid"
+	"arbutuslever.dev/lever/internal/leverrank"
+
+	"github.com/matryer/is"
+)
+
+// TestRoom floods services that do one second of work a second and shed what
+// finds their queues full: they stay busy, the urgent rank is served, the
+// others keep their floors.
+func TestRoom(t *testing.T) {
+	const (
+		work  = 0.01
+		queue = 0.14
+		slow  = 0.05
+	)
+	cases := map[string]struct {
+		flood leverid.Rank
+		// least is the part of each rank's offered work that is done.
+		least [leverid.RankCount]float64
+	}{
+		"routine floods": {leverid.Routine, [leverid.RankCount]float64{0.7, 0.03, 0}},
+		"urgent floods":  {leverid.Urgent, [leverid.RankCount]float64{0.03, 0.2, 0}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var r leverrank.Room
+			now := time.Unix(1000, 0)
+			var offered, done [leverid.RankCount]float64
+			backlog, refused := 0.0, 0
+			for step := range 30000 {
+				now = now.Add(time.Millisecond)
+				backlog = max(backlog-0.001, 0)
+				for _, rank := range leverid.Ranks() {
+					every := 50
+					if rank == c.flood {
+						every = 1
+					}
+					if step%every != 0 {
+						continue
+					}
+					offered[rank] += work
+					if !r.Admit(rank, work, now) {
+						refused++
+						continue
+					}
+					if backlog+work > queue {
+						continue
+					}
+					backlog += work
+					done[rank] += work
+					r.Observe(work, backlog > slow, now)
+				}
+			}
+			total := 0.0
+			for rank, least := range c.least {
+				total += done[rank]
+				if part := done[rank] / offered[rank]; part < least {
+					t.Errorf("rank %d got %.3f of its work done, want %.3f", rank, part, least)
+				}
+			}
+			is.True(refused > 0)
+			if total < 0.5*30 {
+				t.Errorf("%.1f of 30 seconds of work were done", total)
+			}
+		})
+	}
+}
+
+// TestRoomWithoutLoad lets all in.
+func TestRoomWithoutLoad(t *testing.T) {
+	is := is.New(t)
+	var r leverrank.Room
+	now := time.Unix(1000, 0)
+	for range 10000 {
+		now = now.Add(5 * time.Millisecond)
+		is.True(r.Admit(leverid.Bulk, 0.001, now))
+		r.Observe(0.001, false, now)
+	}
+}
--- /dev/null
+++ b/internal/leverrelay/relay_test.go
@@ -0,0 +1,128 @@
+package leverrelay_test
+
+import (
+	"fmt"
+	"testing"
+
+	"arbutuslever.dev/lever/internal/levercrash"
+	"arbutuslever.dev/lever/internal/leverdirectory"
+	"arbutuslever.dev/lever/internal/leverfeed"
+	"arbutuslever.dev/lever/internal/leverid"
+	"arbutuslever.dev/lever/internal/levermsg"
+	"arbutuslever.dev/lever/internal/leverrelay"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// seen is a board and what it handed on last.
+type seen struct {
+	*leverrelay.Board
+	config    leverid.ConfigVersion
+	upstreams map[leverid.UpstreamID]bool
+}
+
+func newSeen() *seen {
+	s := &seen{Board: leverrelay.NewBoard()}
+	s.OnConfigs = func(list []*leverdirectory.Config) {
+		for _, c := range list {
+			s.config = c.Version
+		}
+	}
+	s.OnUpstreams = func(list []leverdirectory.Upstream) {
+		s.upstreams = make(map[leverid.UpstreamID]bool)
+		for _, u := range list {
+			s.upstreams[u.ID] = true
+		}
+	}
+	s.OnVMs = func([]levermsg.VM) {}
+	s.OnCrashes = func(e []levercrash.Entry) []levercrash.Entry { return e }
+	return s
+}
+
+func upstreams(ids ...leverid.UpstreamID) map[string]leverdirectory.Upstream {
+	m := make(map[string]leverdirectory.Upstream)
+	for _, id := range ids {
+		m[string(id)] = leverdirectory.Upstream{ID: id}
+	}
+	return m
+}
+
+func configs(v leverid.ConfigVersion) map[string]*leverdirectory.Config {
+	return map[string]*leverdirectory.Config{"main": {Version: v}}
+}
+
+// TestChildFollows: a child that gets only what is new to it ends with what the
+// parent has, and does not go back when it changes to a parent that lags.
+func TestChildFollows(t *testing.T) {
+	is := is.New(t)
+	parent, child := newSeen(), newSeen()
+	parent.SetConfigs(configs(1), 1)
+	parent.SetUpstreams(upstreams("a", "b"), 1)
+	u, _ := parent.Since(0, 0)
+	child.Merge(u)
+	is.Equal(child.config, leverid.ConfigVersion(1))
+	is.Equal(len(child.upstreams), 2)
+
+	old, _ := parent.Since(0, 0)
+	parent.SetUpstreams(upstreams("b", "c"), 3)
+	parent.SetConfigs(configs(4), 4)
+	next, _ := parent.Since(u.Epoch, u.Seq)
+	is.True(!next.Reset)
+	is.Equal(len(next.Upstreams.Items), 2) // a is gone, c is new
+	child.Merge(next)
+	is.Equal(child.upstreams, map[leverid.UpstreamID]bool{"b": true, "c": true})
+	is.Equal(child.config, leverid.ConfigVersion(4))
+
+	child.Merge(old) // of a parent that lags
+	is.Equal(child.upstreams, map[leverid.UpstreamID]bool{"b": true, "c": true})
+	is.Equal(child.config, leverid.ConfigVersion(4))
+}
+
+// TestBoardsAgree plays random changes of the store through a chain of boards.
+func TestBoardsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		chain := []*seen{newSeen(), newSeen(), newSeen()}
+		known := make([]leverrelay.Follow, len(chain))
+		present := make(map[string]leverdirectory.Upstream)
+		rev := leverfeed.Revision(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := leverid.UpstreamID(fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "id")))
+			if rapid.Bool().Draw(t, "gone") {
+				delete(present, string(id))
+			} else {
+				present[string(id)] = leverdirectory.Upstream{ID: id, Slots: rapid.IntRange(1, 3).Draw(t, "slots")}
+			}
+			rev++
+			chain[0].SetUpstreams(present, rev)
+			for i := 1; i < len(chain); i++ {
+				if rapid.Bool().Draw(t, "pass") {
+					pass(chain[i-1], chain[i], &known[i])
+				}
+			}
+		}
+		for i := 1; i < len(chain); i++ {
+			pass(chain[i-1], chain[i], &known[i])
+		}
+		for _, s := range chain {
+			if got := s.Upstreams(); len(got) != len(present) {
+				t.Fatalf("%d upstreams, want %d", len(got), len(present))
+			}
+		}
+	})
+}
+
+func pass(from, to *seen, f *leverrelay.Follow) {
+	u, _ := from.Since(f.Epoch, f.Seq)
+	to.Merge(u)
+	f.Epoch, f.Seq = u.Epoch, u.Seq
+}
+
+func TestRanked(t *testing.T) {
+	is := is.New(t)
+	live := []levermsg.VM{{ID: "a", Power: 0.2}, {ID: "b", Power: 0.8}, {ID: "c", Power: 0.2}}
+	ranked := leverrelay.Ranked(live)
+	is.Equal(ranked[0].ID, leverid.VMID("b"))
+	live[0], live[2] = live[2], live[0]
+	is.Equal(leverrelay.Ranked(live), ranked) // all VMs agree
+}
