internal/leverport: take ports from the kernel in one place

Cause: TestSessions failed with 'no free ports' beside a running scripts/try.sh: tests and scripts took ports from fixed ranges. Change: one function finds ports that are free; tests, scripts and the soak use it. Shown: TestSessions and scripts/try.sh.

--- a/cmd/leversoak/soak.go
+++ b/cmd/leversoak/soak.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"arbutuslever.dev/lever/internal/leverport"
 	"arbutuslever.dev/lever/platform/standin"
 )
 
@@ -125,9 +126,11 @@
 		s.leafIDs = append(s.leafIDs, l.ID)
 	}
 	slices.Sort(s.leafIDs)
-	ports, err := freePorts()
-	if err != nil {
-		return err
+	var ports [3]int
+	for i := range ports {
+		if ports[i], err = leverport.Free(0); err != nil {
+			return err
+		}
 	}
 	for n := range s.options.VMs {
 		v := &vm{n: n, program: s.options.Program, dir: dir, ports: ports, note: s.note}
--- a/cmd/leversoak/vm.go
+++ b/cmd/leversoak/vm.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -173,17 +172,3 @@
 	_ = w.Body.Close()
 	return w.StatusCode == http.StatusOK
 }
-
-// freePorts takes ports from the kernel that are free at all VMs' addresses.
-func freePorts() ([3]int, error) {
-	var ports [3]int
-	for i := range ports {
-		ln, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return ports, err
-		}
-		defer ln.Close()
-		ports[i] = ln.Addr().(*net.TCPAddr).Port
-	}
-	return ports, nil
-}
--- a/cmd/leverstandin/main.go
+++ b/cmd/leverstandin/main.go
@@ -14,6 +14,7 @@
 	mustAdd(parser, "upstream", "Play one upstream", &upstreamCommand{})
 	mustAdd(parser, "platform", "Play the platform", &platformCommand{})
 	mustAdd(parser, "plan", "Write the settings of a trial", &planCommand{})
+	mustAdd(parser, "port", "Print a first port for a plan", &portCommand{})
 	if _, err := parser.Parse(); err != nil {
 		os.Exit(report(err))
 	}
--- a/internal/leversession/session_test.go
+++ b/internal/leversession/session_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -14,6 +13,8 @@
 	"testing"
 	"time"
 
+	"arbutuslever.dev/lever/internal/leverport"
+
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -68,7 +69,7 @@
 	if err := os.Mkdir(s.dir, 0o755); err != nil {
 		return err
 	}
-	port, err := freePorts()
+	port, err := leverport.Free(0, 1, 2, 3, 4, 5, 6, 200, 201, 202, 203)
 	if err != nil {
 		return err
 	}
@@ -85,35 +86,6 @@
 	return s.begin()
 }
 
-// freePorts returns the first of a run of ports that nobody listens on.
-func freePorts() (int, error) {
-	const span = 300
-	for first := 26000; first < 32000; first += span {
-		free := true
-		for _, offset := range []int{0, 1, 2, 3, 4, 5, 6, 200, 201, 202, 203} {
-			ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+offset))
-			if err != nil {
-				free = false
-				break
-			}
-			_ = ln.Close()
-		}
-		if free && claim(first) {
-			return first, nil
-		}
-	}
-	return 0, fmt.Errorf("no free ports")
-}
-
-// claim keeps two sessions of this run from taking the same ports.
-func claim(first int) bool {
-	f, err := os.OpenFile(filepath.Join(binaries, fmt.Sprint("port-", first)), os.O_CREATE|os.O_EXCL, 0o600)
-	if err != nil {
-		return false
-	}
-	return f.Close() == nil
-}
-
 func (s *system) address(vm int) string { return fmt.Sprintf("127.0.0.1:%d", s.port+2*vm-1) }
 
 func (s *system) begin() error {
--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -44,7 +44,9 @@
 }
 
 # plan VMS SCALE PORT [SEED] writes settings and starts platform and upstreams.
+# Without a port it takes free ones from the kernel.
 plan() {
+  set -- "$1" "$2" "${3:-$("$bin/leverstandin" port)}" "${@:4}"
   "$bin/leverstandin" plan --dir "$dir" --vms "$1" --scale "$2" --port "$3" --seed "${4:-1}" --deployment "${5:-tw-north}" >"$dir/upstreams"
   base=$3
   vms=$1
--- a/scripts/cost.sh
+++ b/scripts/cost.sh
@@ -8,7 +8,7 @@
 [ -n "${rates[0]}" ] || rates=(100 200 400 800)
 span=10
 build
-plan 7 1 "${PORT:-30000}"
+plan 7 1 "${PORT:-}"
 for i in 1 2 3 4 5 6 7; do start_vm "$i"; done
 ready 1 2 3 4 5 6 7
 sleep 3
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -10,7 +10,7 @@
 RANDOM=$seed
 build
 SECONDS=0
-plan 7 2 "${PORT:-23000}" "$seed"
+plan 7 2 "${PORT:-}" "$seed"
 for i in 1 2 3 4 5 6 7; do start_vm "$i"; done
 ready 1 2 3 4 5 6 7
 say "seed $seed, $length s: $(wc -l <"$dir/upstreams") upstreams, 7 VMs ready"
--- a/scripts/try.sh
+++ b/scripts/try.sh
@@ -9,7 +9,7 @@
 build
 SECONDS=0
 say "starting one platform, six entry VMs in three failure domains and the upstreams"
-plan 6 2 "${PORT:-21000}"
+plan 6 2 "${PORT:-}"
 for i in 1 2 3 4 5 6; do start_vm "$i"; done
 ready 1 2 3 4 5 6
 all=$(callers 1 2 3 4 5 6)
