--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -259,11 +259,13 @@
 	go n.runPeers(peers)
 	go n.runRegister(ctx)
 	go n.runProbes(ctx)
-	go n.relay.Run(ctx)
+	go n.runRelay(ctx)
 	go n.runShares(ctx)
 	go n.runCrashes(ctx)
 }
 
+func (n *Node) runRelay(ctx context.Context) { n.relay.Run(ctx) }
+
 func (n *Node) runPeers(ln net.Listener) { n.server.Run(ln) }
 
 // runRegister writes this VM's own entry, and again if it is gone.
