--- a/cmd/leversoak/vm.go
+++ b/cmd/leversoak/vm.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -52,21 +51,14 @@
 
 // writeSettings writes the platform's settings file.
 func (v *vm) writeSettings(retrySlack int) error {
-	b, err := json.Marshal(map[string]any{
-		"node": fmt.Sprintf("vm%d", v.n), "ip": v.ip(), "zone": fmt.Sprintf("z%d", v.n%2),
-		"listen": map[string]string{"front": v.address(0), "ready": v.address(1), "control": v.address(2)},
-		"seeds":  []string{fmt.Sprintf("127.0.1.1:%d", v.ports[2]), fmt.Sprintf("127.0.1.2:%d", v.ports[2])},
-		"limits": map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 284},
-		"bounds": map[string]any{
-			"drainMs": 3000, "graceS": graceS, "configApplyMs": 3000,
-			"retryRatio": standin.RetryRatio, "retryWindowS": 10, "retrySlack": retrySlack,
-		},
-		"platform": map[string]any{"address": v.store.address(), "writesPerS": 400, "readsPerS": 2000},
-	})
-	if err != nil {
-		return err
+	s := standin.Settings{
+		Name: fmt.Sprintf("vm%d", v.n), IP: v.ip(), Zone: fmt.Sprintf("z%d", v.n%2),
+		Front: v.address(0), Ready: v.address(1), Peer: v.address(2),
+		Peers: []string{fmt.Sprintf("127.0.1.1:%d", v.ports[2]), fmt.Sprintf("127.0.1.2:%d", v.ports[2])},
+		Store: v.store.address(), RetrySlack: retrySlack, GraceS: graceS,
+		CPUShare: 0.4, Memory: 284, DrainMS: 3000, ConfigMS: 3000, WritesPerS: 400, ReadPerS: 2000,
 	}
-	return os.WriteFile(v.settings(), b, 0o600)
+	return s.Write(v.settings())
 }
 
 func (v *vm) start() error {
