platform: HEAD, busy answers of requests that ran, bounds by the VM's memory

The answer to a HEAD request has a length and no body; an upstream's 503 without its not-run mark was passed on, a promise that is not true; a flood could take all memory. Change: such an answer counts as a failure and is not passed on; requests in flight and the heap are bounded by the VM's memory; a request whose time is over is not sent. Tests: TestHead, TestWhole/upstreams_say_that_they_are_busy.

--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -31,6 +32,12 @@
 	metricsPort = "9464"
 	// metricsTimeout bounds the head of a request for the metrics.
 	metricsTimeout = 5 * time.Second
+	// memoryPart is the part of the VM's memory from which on the runtime
+	// collects garbage all the time; a process above the whole is killed.
+	memoryPart = 0.7
+	// inFlightPerMB bounds the requests at a time by the VM's memory: a fan-out
+	// over 90 shards holds about 130 KB.
+	inFlightPerMB = 4
 	// storeSilence ends a connection to the store whose peer is silent.
 	storeSilence = time.Second
 )
@@ -47,6 +54,9 @@
 }
 
 func newEntry(path string, s *platform.Settings) *entry {
+	if s.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(s.Limits.MemoryMB<<20)))
+	}
 	sink := leverlog.NewSink(os.Stdout)
 	log := leverlog.New(sink, "info", s.Node)
 	e := &entry{path: path, settings: s, sink: sink, log: log.For("entry"), metrics: &levermetric.Set{}}
@@ -58,7 +68,7 @@
 		},
 		Store:    platform.NewStore(s.Platform.Address, storeClient(), log.For("store")),
 		Protocol: platform.Protocol{}, Log: log, PeerKey: s.Platform.Address,
-		Seeds: seeds(s), Terms: terms(s), Metrics: e.metrics,
+		Seeds: seeds(s), Terms: terms(s), Metrics: e.metrics, MostInFlight: s.Limits.MemoryMB * inFlightPerMB,
 	})
 	e.gate = &levergate.Gate{Node: e.node, Log: e.log, Ready: &platform.Ready{Ready: e.node.Ready}}
 	e.gate.Callers = &platform.Face{Engine: e.node.Engine(), Way: e.gate.Way, BodyLimit: e.bodyLimit, Closing: e.node.Stopping}
--- a/internal/leverengine/admit.go
+++ b/internal/leverengine/admit.go
@@ -40,6 +40,12 @@
 
 // admit refuses a request for which the services have no room. It has not run.
 func (f *fanout) admit() *Outcome {
+	if !f.begun.Before(f.deadline) {
+		return &Outcome{Verdict: Late, Reason: "the time was over when the request came"}
+	}
+	if most := f.engine.MostInFlight; most > 0 && f.engine.InFlight() > most {
+		return &Outcome{Verdict: NotRun, RetryAfter: comeBack, Reason: "too many requests in flight"}
+	}
 	f.work = f.engine.Health.Work(f.class).Seconds()
 	if f.room.Admit(f.route.Rank, f.work, f.begun) {
 		return nil
--- a/internal/leverengine/attempt.go
+++ b/internal/leverengine/attempt.go
@@ -90,7 +90,7 @@
 		return leverhealth.Shed
 	case a.mark.Signature == "" || a.mark.Encoded:
 		return leverhealth.Reset
-	case a.reply.Status >= http.StatusInternalServerError:
+	case a.reply.Status >= http.StatusInternalServerError, a.mark.Promise:
 		return leverhealth.Failed
 	}
 	return leverhealth.Good
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -32,6 +32,8 @@
 	OnCrash func([]levercrash.Entry)
 	// Metrics may be nil.
 	Metrics *levermetric.Set
+	// MostInFlight bounds the requests that are run at a time, 0 for no bound.
+	MostInFlight int
 	// Shares returns this VM's part of the upstreams' connections, of services
 	// that are shards of fan-outs and of others.
 	Shares func() (fanout, other float64)
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -300,7 +300,7 @@
 	if p.done {
 		return
 	}
-	if r.kind == leverhealth.Failed {
+	if r.kind == leverhealth.Failed && !r.mark.Promise {
 		f.failure = r.reply
 	}
 	f.reason = resultNames[r.kind] + " by " + string(r.upstream.ID)
--- a/internal/leverengine/request.go
+++ b/internal/leverengine/request.go
@@ -95,6 +95,9 @@
 	Signature string
 	// NotRun says that the upstream did not run the request.
 	NotRun bool
+	// Promise says that the status promises a caller that its request has not
+	// run. Without NotRun it is not true of this request.
+	Promise bool
 	// Elsewhere says that another upstream than the expected one answered.
 	Elsewhere bool
 	// Encoded says that the body is not as the upstream made it.
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -81,6 +81,8 @@
 	PeerKey string
 	Log     leverlog.Logger
 	Metrics *levermetric.Set
+	// MostInFlight bounds the requests that are run at a time, 0 for no bound.
+	MostInFlight int
 	// Dial replaces the TCP dialer, in tests.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -127,6 +129,7 @@
 		Domain: o.Self.Domain, Timer: n.timer, Log: o.Log.For("engine"), Directory: directory,
 		Health: &leverhealth.Table{}, Budget: n.budget, Pool: &leverpool.Pool{Dial: o.Dial}, Protocol: o.Protocol,
 		Shares: n.shares, Current: n.board.Current, Crashes: &levercrash.Guard{}, OnCrash: n.tellCrashes, Metrics: o.Metrics,
+		MostInFlight: o.MostInFlight,
 	}
 	directory.OnChange = n.engine.Changed
 	n.peerParts()
--- a/internal/leverpool/conn.go
+++ b/internal/leverpool/conn.go
@@ -176,6 +176,10 @@
 }
 
 func readBody(w *http.Response) ([]byte, error) {
+	if w.Body == http.NoBody {
+		// The length may be that of a body which a HEAD request does not get.
+		return nil, nil
+	}
 	if w.ContentLength >= 0 && w.ContentLength <= maxReply {
 		b := make([]byte, w.ContentLength)
 		_, err := io.ReadFull(w.Body, b)
