--- a/cmd/leversoak/vm.go
+++ b/cmd/leversoak/vm.go
@@ -35,8 +35,8 @@
 	// gone is closed when the present process has ended.
 	gone chan struct{}
 	log  *os.File
-	// paused and leaving processes are not expected to answer.
-	paused, leaving bool
+	// A paused process is not expected to answer.
+	paused bool
 	// pausedTill is when the last pause ended.
 	pausedTill time.Time
 }
@@ -77,7 +77,7 @@
 		return err
 	}
 	v.cmd, v.gone = c, make(chan struct{})
-	v.paused, v.leaving = false, false
+	v.paused = false
 	w := &waiter{vm: v, cmd: c, gone: v.gone}
 	go w.run()
 	return nil
@@ -102,7 +102,6 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.paused = s == syscall.SIGSTOP || v.paused && s != syscall.SIGCONT && s != syscall.SIGKILL
-	v.leaving = v.leaving || s == syscall.SIGTERM
 	if s == syscall.SIGCONT {
 		v.pausedTill = time.Now()
 	}
--- a/internal/leverengine/bench_test.go
+++ b/internal/leverengine/bench_test.go
@@ -1,10 +1,8 @@
 package leverengine_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -17,6 +15,7 @@
 	"arbutuslever.dev/lever/internal/leverhealth"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leverpool"
+	"arbutuslever.dev/lever/internal/levertest"
 	"arbutuslever.dev/lever/internal/levertimer"
 )
 
@@ -32,46 +31,15 @@
 	return leverengine.Mark{Request: leverid.RequestID(h.Get("X-Request-Id")), Signature: h.Get("Signature")}
 }
 
-// echo answers each request on its connections with the same bytes.
-type echo struct{ answer []byte }
-
-func (e *echo) run(ln net.Listener) {
-	for {
-		c, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		go e.runConn(c)
-	}
-}
-
-func (e *echo) runConn(c net.Conn) {
-	defer c.Close()
-	r := bufio.NewReader(c)
-	for {
-		line, err := r.ReadSlice('\n')
-		if err != nil {
-			return
-		}
-		if len(line) > 2 {
-			continue
-		}
-		if _, err := c.Write(e.answer); err != nil {
-			return
-		}
-	}
-}
-
 // BenchmarkFanout measures a fan-out over 90 shards of 3 upstreams.
 func BenchmarkFanout(b *testing.B) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	records := strings.Repeat("0123456789abcdef", 25)
+	e := &levertest.Echo{Answer: []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nSignature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nX-Request-Id: 1\r\nContent-Length: %d\r\n\r\n%s", len(records), records))}
+	ln, err := e.Start()
 	if err != nil {
 		b.Fatal(err)
 	}
 	defer ln.Close()
-	records := strings.Repeat("0123456789abcdef", 25)
-	e := &echo{answer: []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nSignature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nX-Request-Id: 1\r\nContent-Length: %d\r\n\r\n%s", len(records), records))}
-	go e.run(ln)
 	route := leverdirectory.Route{
 		Name: "r", Host: "h.example", Prefix: "/a/", Repeatable: true, Limit: 20, RecordBytes: 16, LeastCoverage: 0.9,
 		MaxAttempts: 2, Timeout: time.Second, Objective: 500 * time.Millisecond,
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -47,7 +47,6 @@
 	reply     *leverpool.Reply
 	tried     []*leverdirectory.Upstream
 	open      int
-	started   time.Time
 	// runs counts the attempts that ran or may still run; arrivals those that
 	// may have reached an upstream; declined those that were not run.
 	runs, arrivals, declined int
@@ -70,6 +69,10 @@
 
 // fanout is one request under way. Its methods run on the request's goroutine.
 type fanout struct {
+	schedule
+	suspicion
+	tally
+
 	engine  *Engine
 	req     *Request
 	route   *leverdirectory.Route
@@ -84,21 +87,38 @@
 	results chan *attempt
 	// sent are all attempts.
 	sent []*attempt
+}
+
+// schedule is when what is due.
+type schedule struct {
+	begun, deadline time.Time
+	// answerAt is when an answer with the least coverage is given, lateAt when
+	// it is given at the latest if the coverage comes later.
+	answerAt, lateAt time.Time
+	hedgeAt          time.Time
+}
 
-	deadline, answerAt, lateAt, hedgeAt time.Time
-	begun                               time.Time
-	hedged, retried                     int
-	fingerprint                         leverid.Fingerprint
+// suspicion is what is believed of the request's content.
+type suspicion struct {
+	fingerprint leverid.Fingerprint
 	// trial says that the content is suspect: it runs on one part first.
 	trial     bool
 	trialPart int
-	ran       bool
-	failure   *leverpool.Reply
-	reason    string
+}
+
+// tally is what has become of the attempts so far.
+type tally struct {
+	hedged, retried int
+	// ran says that an upstream may have run the request.
+	ran bool
+	// failure is the last answer that says that the upstream failed.
+	failure *leverpool.Reply
+	reason  string
 }
 
 func (e *Engine) newFanout(req *Request, v *leverdirectory.View, route *leverdirectory.Route) *fanout {
-	f := &fanout{engine: e, req: req, route: route, version: v.Config.Version, class: leverhealth.Class(route.Name), begun: e.Timer.Now()}
+	f := &fanout{engine: e, req: req, route: route, version: v.Config.Version, class: leverhealth.Class(route.Name)}
+	f.begun = e.Timer.Now()
 	services := route.Shards
 	f.gather = len(services) > 0
 	if !f.gather {
@@ -267,9 +287,6 @@
 	p.tried = append(p.tried, u)
 	p.open++
 	p.runs++
-	if p.started.IsZero() {
-		p.started = now
-	}
 	a.send()
 	return a
 }
--- a/internal/leverpool/pool_test.go
+++ b/internal/leverpool/pool_test.go
@@ -1,13 +1,13 @@
 package leverpool_test
 
 import (
-	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverdirectory"
 	"arbutuslever.dev/lever/internal/leverpool"
+	"arbutuslever.dev/lever/internal/levertest"
 
 	"github.com/matryer/is"
 )
@@ -16,13 +16,12 @@
 
 // upstream starts an upstream that answers all requests alike.
 func upstream(t testing.TB, answer string) *leverdirectory.Upstream {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	e := &levertest.Echo{Answer: []byte(answer)}
+	ln, err := e.Start()
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = ln.Close() })
-	e := &echo{answer: []byte(answer)}
-	go e.run(ln)
 	return &leverdirectory.Upstream{ID: "u", Address: ln.Addr().String()}
 }
 
