--- a/internal/leverengine/choose.go
+++ b/internal/leverengine/choose.go
@@ -9,7 +9,7 @@
 
 // farFactor makes an upstream of another failure domain look slower: its bytes
 // are priced, and its way is longer.
-const farFactor = 1.2
+const farFactor = 1.6
 
 // choose returns the upstream from which the answer is expected first, and the
 // time that it is expected to take. One that was not tried goes before those
