--- a/scripts/try.sh
+++ b/scripts/try.sh
@@ -71,6 +71,6 @@
 for i in 1 2 4 6; do gone "vm-$i" || { echo "vm-$i did not stop cleanly" >&2; exit 1; }; done
 for p in "${!pids[@]}"; do stop TERM "$p"; done
 
-say "the users' platform: three VMs, 14 upstreams and the store, no faults"
+say "the users' platform: three VMs, 11 upstreams and the store, no faults"
 "$bin/leversoak" --program "$bin/arbutuslever" --vms 3 --shards 4 --length 1s
 say "done"
