internal/leverfeed: see the end of an outage sooner

The store turned two of the three watchers away until 16.0 s and the third was cut off from it; the removal came at 16.2 s, a watcher saw the store again only after a pause of up to a second, and held what was missing for 2.2 s from then. Change: the pause between failed reads of the upstreams' entries is at most 350 ms. TestGoneSoonAfterOutage fails without it.

--- a/internal/leverfeed/follower_test.go
+++ b/internal/leverfeed/follower_test.go
@@ -223,3 +223,21 @@
 		is.True(got.has("c"))
 	})
 }
+
+// TestGoneSoonAfterOutage: what is removed right after an outage, however long
+// it was, is dropped within the hold and one pause.
+func TestGoneSoonAfterOutage(t *testing.T) {
+	const pause = 350 * time.Millisecond
+	set := func(_ *source, f *leverfeed.Follower[int]) { f.MaxPause = pause }
+	for _, outage := range []time.Duration{time.Second, 5 * time.Second, 9 * time.Second} {
+		follow(t, set, func(is *is.I, s *source, f *leverfeed.Follower[int], got *state) {
+			s.fail(errors.New("down"))
+			f.Doubt()
+			time.Sleep(outage)
+			s.fail(nil)
+			s.remove("a")
+			time.Sleep(hold + 2*pause)
+			is.True(!got.has("a"))
+		})
+	}
+}
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -43,6 +43,10 @@
 	// outageDoubt is how long a VM may have been without a way to the store and
 	// still take what is missing there for gone at once.
 	outageDoubt = 600 * time.Millisecond
+	// upstreamsPause bounds the pause between failed reads of the upstreams'
+	// entries: with the hold after it, what is gone for good is dropped within
+	// the 3 s in which an upstream that leaves must get nothing new.
+	upstreamsPause = 350 * time.Millisecond
 	// registerPause is the pause before the VM's own entry is written again.
 	registerPause = time.Second
 	// relayQuiet and relayDead bound the silence of a parent in the relay: a
@@ -170,7 +174,7 @@
 		OnLost: n.relist, OnFailed: n.doubt, Apply: n.board.SetConfigs,
 	}
 	n.upstreams = &leverfeed.Follower[leverdirectory.Upstream]{
-		Name: "upstreams", Source: o.Store.Upstreams(), Timer: n.timer, Log: log, Pace: feedPace, Hold: lapseHold, Base: n.board.Upstreams,
+		Name: "upstreams", Source: o.Store.Upstreams(), Timer: n.timer, Log: log, Pace: feedPace, Hold: lapseHold, MaxPause: upstreamsPause, Base: n.board.Upstreams,
 		Apply: n.board.SetUpstreams,
 	}
 	n.vms = &leverfeed.Follower[levermsg.VM]{
