internal/leverhealth, internal/levermetric: remove methods that nothing calls

No behaviour changes; go vet and the tests of leverhealth, levermetric, leverengine and platform pass.

--- a/internal/leverhealth/table.go
+++ b/internal/leverhealth/table.go
@@ -316,13 +316,6 @@
 	return false
 }
 
-// Open returns the number of calls that this VM has open at the upstream.
-func (t *Table) Open(u *leverdirectory.Upstream, now time.Time) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.state(u, now).open)
-}
-
 // Retain forgets the upstreams that known refuses.
 func (t *Table) Retain(known func(leverdirectory.Key) bool) {
 	t.mu.Lock()
--- a/internal/levermetric/set.go
+++ b/internal/levermetric/set.go
@@ -102,13 +102,6 @@
 	s.gauges[name] = f
 }
 
-// Counter returns the value of a counter.
-func (s *Set) Counter(name string) int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.counters[name]
-}
-
 // Write writes all values in the order of their names.
 func (s *Set) Write(w io.Writer) error {
 	for _, line := range s.lines() {
