internal/leverengine: one retry at a time while all that was asked was reset

Cause: a fan-out whose content crashes upstreams was sent a second time at each of its shards at once, before it was known that the content does it: twice as many upstreams crashed as the first attempts did. While no upstream has answered a request, one part that was reset is tried again; the others wait for it. The first answer lets them all go, so ordinary crashes cost nothing once any shard has answered. A request is encoded with its first attempt, not before admission may refuse it. Ruled out: giving suspect content up at once; two upstreams of two shards that crash together look the same until one of them answers.

--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -17,6 +17,7 @@
 	"arbutuslever.dev/lever/internal/levermetric"
 	"arbutuslever.dev/lever/internal/levermsg"
 	"arbutuslever.dev/lever/internal/levernode"
+	"arbutuslever.dev/lever/internal/leverpeer"
 	"arbutuslever.dev/lever/platform"
 
 	"github.com/juju/errors"
@@ -67,7 +68,7 @@
 			State: levermsg.Live, Power: s.Power(),
 		},
 		Store:    platform.NewStore(s.Platform.Address, storeClient(), log.For("store")),
-		Protocol: platform.Protocol{}, Log: log, PeerKey: s.Platform.Address,
+		Protocol: platform.Protocol{}, Log: log, PeerKeys: leverpeer.NewKeys(s.Platform.Address),
 		Seeds: seeds(s), Terms: terms(s), Metrics: e.metrics, MostInFlight: s.Limits.MemoryMB * inFlightPerMB,
 	})
 	e.gate = &levergate.Gate{Node: e.node, Log: e.log, Ready: &platform.Ready{Ready: e.node.Ready}}
--- a/internal/leverdelegate/delegate.go
+++ b/internal/leverdelegate/delegate.go
@@ -65,6 +65,8 @@
 	// Way is the time between the caller and the sender, there and back.
 	Way   time.Duration `msgpack:"y"`
 	Spent int           `msgpack:"n"`
+	// Variant is what the request changes of its route's terms.
+	Variant *leverengine.Variant `msgpack:"x,omitempty"`
 }
 
 // reply is what a runner says: first whether it runs the request, then the
@@ -78,6 +80,30 @@
 	Missing    int                 `msgpack:"m,omitempty"`
 	RetryAfter time.Duration       `msgpack:"t,omitempty"`
 	Reason     string              `msgpack:"o,omitempty"`
+	Cause      leverengine.Cause   `msgpack:"c,omitempty"`
+	Parts      [][]byte            `msgpack:"p,omitempty"`
+	Absent     []string            `msgpack:"b,omitempty"`
+	Ran        bool                `msgpack:"n,omitempty"`
+	Attempts   int                 `msgpack:"a,omitempty"`
+	Hedged     int                 `msgpack:"h,omitempty"`
+	Retried    int                 `msgpack:"e,omitempty"`
+}
+
+func replyOf(out *leverengine.Outcome) *reply {
+	return &reply{
+		Verdict: out.Verdict, Upstream: out.Reply, Records: out.Records, Signatures: out.Signatures,
+		Missing: out.Missing, RetryAfter: out.RetryAfter, Reason: out.Reason, Cause: out.Cause,
+		Parts: out.Parts, Absent: out.Absent, Ran: out.Ran, Attempts: out.Attempts, Hedged: out.Hedged, Retried: out.Retried,
+	}
+}
+
+// outcome returns what the runner said as the sender's own outcome.
+func (r *reply) outcome(at time.Time) *leverengine.Outcome {
+	return &leverengine.Outcome{
+		Verdict: r.Verdict, At: at, Reply: r.Upstream, Records: r.Records, Signatures: r.Signatures,
+		Missing: r.Missing, RetryAfter: r.RetryAfter, Reason: r.Reason, Cause: r.Cause,
+		Parts: r.Parts, Absent: r.Absent, Ran: r.Ran, Attempts: r.Attempts, Hedged: r.Hedged, Retried: r.Retried,
+	}
 }
 
 // Delegate sends fan-outs to the VMs that run them, and runs those of others.
@@ -251,7 +277,7 @@
 	call, err := d.Peers.Call(taking, vm, leverpeer.KindRun, &run{
 		Version: v, ID: req.ID, Method: req.Method, Host: req.Host, URI: req.URI, Path: req.Path,
 		Header: req.Header, Body: req.Body, Wait: req.Wait, Age: d.Timer.Now().Sub(req.Received),
-		Way: req.Way + wayBack + d.Engine.Lag(), Spent: req.Spent,
+		Way: req.Way + wayBack + d.Engine.Lag(), Spent: req.Spent, Variant: req.Variant,
 	})
 	if err != nil {
 		d.doubt(vm.ID)
@@ -280,10 +306,7 @@
 		d.Log.Info("a delegated request ended", "id", req.ID, "runner", vm.ID, "verdict", r.Verdict, "missing", r.Missing,
 			"config", v, "took", d.Timer.Now().Sub(taken), "reason", r.Reason)
 	}
-	return &leverengine.Outcome{
-		Verdict: r.Verdict, At: d.Timer.Now(), Reply: r.Upstream, Records: r.Records, Signatures: r.Signatures,
-		Missing: r.Missing, RetryAfter: r.RetryAfter, Reason: r.Reason,
-	}, nil
+	return r.outcome(d.Timer.Now()), nil
 }
 
 func next(ctx context.Context, call *leverpeer.Call) (*reply, error) {
@@ -319,14 +342,11 @@
 	}
 	out := d.Engine.RunHere(req.Ctx, &leverengine.Request{
 		ID: m.ID, Method: m.Method, Host: m.Host, URI: m.URI, Path: m.Path, Header: m.Header, Body: m.Body,
-		Wait: m.Wait, Received: d.Timer.Now().Add(-m.Age), Way: m.Way, Spent: m.Spent,
+		Wait: m.Wait, Received: d.Timer.Now().Add(-m.Age), Way: m.Way, Spent: m.Spent, Variant: m.Variant,
 		Confirmed: (&confirmation{signals: req.Signals}).seen,
 	})
 	defer d.Engine.Written(out)
-	return req.Reply(&reply{
-		Verdict: out.Verdict, Upstream: out.Reply, Records: out.Records, Signatures: out.Signatures,
-		Missing: out.Missing, RetryAfter: out.RetryAfter, Reason: out.Reason,
-	}, true)
+	return req.Reply(replyOf(out), true)
 }
 
 // confirmation is the sender's word that it waits for the runner's answer. A
--- a/internal/leverdirectory/config.go
+++ b/internal/leverdirectory/config.go
@@ -33,8 +33,12 @@
 	Shards []leverid.ServiceID
 	// Limit is the number of records in a fan-out's answer.
 	Limit int
-	// RecordBytes is the size of one record.
+	// RecordBytes is the size of one record, 0 if the shards' answers are not
+	// merged.
 	RecordBytes int
+	// Whole says that an answer is held for all shards until its time is over,
+	// also after the objective.
+	Whole bool
 	// LeastCoverage is the least part of the shards that an answer must have.
 	LeastCoverage float64
 	// MaxAttempts bounds the upstreams that one request may run on, for each
@@ -45,6 +49,9 @@
 	// Objective is the time within which an answer has its full value.
 	Objective time.Duration
 	Rank      leverid.Rank
+	// Room names the routes that compete for the same upstreams; the first
+	// service does if it is empty.
+	Room leverid.ServiceID
 }
 
 // Service is what a configuration says of one service.
@@ -68,6 +75,8 @@
 	Routes   []Route
 	Services map[leverid.ServiceID]Service
 	Limits   Limits
+	// Attachment is what the face that made the configuration needs besides.
+	Attachment []byte
 
 	byHost map[string][]*Route
 	shards map[leverid.ServiceID]bool
--- a/internal/leverengine/admit.go
+++ b/internal/leverengine/admit.go
@@ -16,8 +16,8 @@
 	longestComeBack = 2 * time.Second
 )
 
-// rooms holds what is known of the services' room, by the first service of a
-// route: routes over one index share it. The zero value is ready to use. It is
+// rooms holds what is known of the services' room, by the room that a route
+// names or its first service: routes over one index share it. The zero value is ready to use. It is
 // safe for concurrent use.
 type rooms struct {
 	mu        sync.Mutex
@@ -44,7 +44,7 @@
 		return &Outcome{Verdict: Late, Reason: "the time was over when the request came"}
 	}
 	if most := f.engine.MostInFlight; most > 0 && f.engine.InFlight() > most {
-		return &Outcome{Verdict: NotRun, RetryAfter: comeBack, Reason: "too many requests in flight"}
+		return &Outcome{Verdict: NotRun, Cause: NoRoom, RetryAfter: comeBack, Reason: "too many requests in flight"}
 	}
 	f.work = f.engine.Health.Work(f.class).Seconds()
 	if f.room.Admit(f.route.Rank, f.work, f.begun) {
@@ -52,5 +52,5 @@
 	}
 	// The less is let in, the later the caller should come back.
 	pause := time.Duration(float64(comeBack) / max(f.room.Fraction(f.route.Rank), 0.01))
-	return &Outcome{Verdict: NotRun, RetryAfter: min(pause, longestComeBack), Reason: "no room for this rank"}
+	return &Outcome{Verdict: NotRun, Cause: NoRoom, RetryAfter: min(pause, longestComeBack), Reason: "no room for this rank"}
 }
--- a/internal/leverengine/attempt.go
+++ b/internal/leverengine/attempt.go
@@ -28,15 +28,16 @@
 // ran reports whether the upstream may have run the request.
 func (a *attempt) ran() bool {
 	switch a.kind {
-	case leverhealth.Shed, leverhealth.Elsewhere, leverhealth.Refused, leverhealth.Withdrawn:
+	case leverhealth.Shed, leverhealth.Elsewhere, leverhealth.Refused, leverhealth.Withdrawn, leverhealth.Absent:
 		return false
 	}
 	return true
 }
 
-// arrived reports whether the request may have reached the upstream.
+// arrived reports whether the request may have reached the upstream and cost
+// it something.
 func (a *attempt) arrived() bool {
-	return a.kind != leverhealth.Refused && a.kind != leverhealth.Withdrawn
+	return a.kind != leverhealth.Refused && a.kind != leverhealth.Withdrawn && a.kind != leverhealth.Absent
 }
 
 // send sends the call.
@@ -44,6 +45,9 @@
 	f := a.fanout
 	e := f.engine
 	e.Health.Begin(a.upstream, a.started)
+	if f.call == nil {
+		f.call = leverpool.NewCall(f.req.Method, f.req.URI, f.req.Host, f.req.Header, f.req.Body)
+	}
 	t := leverpool.Target{Upstream: a.upstream, Once: !f.route.Repeatable, MaxConnections: e.connections(a.upstream.Service)}
 	a.exchange = e.Pool.Send(t, f.call, a.stamp, a.accept, a.done)
 }
@@ -51,7 +55,7 @@
 // stamp returns the headers of the call as it is sent.
 func (a *attempt) stamp() http.Header {
 	f := a.fanout
-	return f.engine.Protocol.Stamp(f.deadline.Sub(f.engine.Timer.Now()), a.upstream.ID)
+	return f.engine.Protocol.Stamp(f.deadline.Sub(f.engine.Timer.Now()), a.upstream)
 }
 
 // accept reads an answer's head.
@@ -60,6 +64,9 @@
 	if a.mark.Request != a.fanout.req.ID {
 		return errors.Errorf("answer to request %q", a.mark.Request)
 	}
+	if s := a.mark.Service; s != "" && s != a.upstream.Service {
+		return errors.Errorf("answer of shard %q", s)
+	}
 	return nil
 }
 
@@ -92,6 +99,8 @@
 		return leverhealth.Reset
 	case a.mark.Elsewhere:
 		return leverhealth.Elsewhere
+	case a.mark.Absent != "":
+		return leverhealth.Absent
 	case a.mark.NotRun:
 		return leverhealth.Shed
 	case a.mark.Signature == "" || a.mark.Encoded:
--- a/internal/leverengine/bench_test.go
+++ b/internal/leverengine/bench_test.go
@@ -23,8 +23,8 @@
 
 func (testProtocol) Strip(http.Header) {}
 
-func (testProtocol) Stamp(left time.Duration, expect leverid.UpstreamID) http.Header {
-	return http.Header{"Left": {left.String()}, "Expect-Upstream": {string(expect)}}
+func (testProtocol) Stamp(left time.Duration, u *leverdirectory.Upstream) http.Header {
+	return http.Header{"Left": {left.String()}, "Expect-Upstream": {string(u.ID)}}
 }
 
 func (testProtocol) Read(_ int, h http.Header) leverengine.Mark {
--- a/internal/leverengine/conclude.go
+++ b/internal/leverengine/conclude.go
@@ -25,7 +25,7 @@
 	switch {
 	case done == len(f.parts):
 		return f.merge(done, now)
-	case enough && (late || settled == len(f.parts) || f.answerDue(now)):
+	case enough && (late || settled == len(f.parts) || !f.route.Whole && f.answerDue(now)):
 		return f.merge(done, now)
 	case late:
 		return &Outcome{Verdict: Late, Reason: f.reason}
@@ -78,13 +78,34 @@
 // merge makes the answer of the parts that are in.
 func (f *fanout) merge(done int, now time.Time) *Outcome {
 	out := &Outcome{Verdict: Merged, At: now, Missing: len(f.parts) - done, Signatures: make([]string, 0, done)}
+	if f.route.RecordBytes == 0 {
+		out.Parts = make([][]byte, len(f.parts))
+	}
 	top := levermerge.Top{Size: f.route.RecordBytes, Limit: f.route.Limit}
 	for i := range f.parts {
-		if p := &f.parts[i]; p.done {
-			out.Signatures = append(out.Signatures, p.signature)
+		p := &f.parts[i]
+		if !p.done {
+			continue
+		}
+		out.Signatures = append(out.Signatures, p.signature)
+		if out.Parts != nil {
+			out.Parts[i] = p.reply.Body
+		} else {
 			top.Add(p.reply.Body)
 		}
 	}
-	out.Records = top.Bytes()
+	if out.Parts == nil {
+		out.Records = top.Bytes()
+	}
 	return out
 }
+
+// account notes in the outcome what became of the attempts.
+func (f *fanout) account(out *Outcome) {
+	out.Ran = f.ran
+	for i := range f.parts {
+		out.Ran = out.Ran || f.parts[i].open > 0
+	}
+	out.Absent = f.absent
+	out.Attempts, out.Hedged, out.Retried = len(f.sent), f.hedged, f.retried
+}
--- a/internal/leverengine/crash.go
+++ b/internal/leverengine/crash.go
@@ -26,7 +26,7 @@
 		return f.run(ctx)
 	case levercrash.Suspect:
 		if !g.BeginTrial(f.fingerprint) {
-			return &Outcome{Verdict: NotRun, RetryAfter: comeBack, Reason: "the content is on trial"}
+			return &Outcome{Verdict: NotRun, Cause: OnTrial, RetryAfter: comeBack, Reason: "the content is on trial"}
 		}
 		defer g.EndTrial(f.fingerprint)
 		f.trial = true
@@ -34,7 +34,7 @@
 		f.engine.Log.Warn("suspect content runs on one part first", "id", f.req.ID, "route", f.route.Name, "fingerprint", f.fingerprint)
 		return f.run(ctx)
 	}
-	return &Outcome{Verdict: NotRun, RetryAfter: barredComeBack, Reason: "the content crashed upstreams"}
+	return &Outcome{Verdict: NotRun, Cause: Barred, RetryAfter: barredComeBack, Reason: "the content crashed upstreams"}
 }
 
 // turnedTime is how long one content that was turned away speaks for others.
@@ -83,6 +83,7 @@
 		if f.trial {
 			f.cleared(now)
 		}
+		f.release(now)
 	case errors.Is(a.err, leverpool.ErrTurnedAway) && !e.turned.only(f.fingerprint, now):
 		// The upstream holds as many connections as it takes.
 	case errors.Is(a.err, leverpool.ErrReset), errors.Is(a.err, leverpool.ErrTurnedAway):
@@ -110,6 +111,63 @@
 	}
 }
 
+// hold reports whether a part that was reset waits: content that crashes
+// upstreams gets one more of them, not one for each part. Once an upstream has
+// answered, resets are ordinary crashes.
+func (f *fanout) hold(part int) bool {
+	switch {
+	case f.answered || !f.gather || f.trial:
+		return false
+	case !f.retrying:
+		f.retrying, f.retryPart = true, part
+		return false
+	case f.retryPart == part:
+		return false
+	}
+	f.parts[part].held = true
+	return true
+}
+
+// advance goes on with the parts that wait if the one that was tried again is
+// given up. If that was reset again, they are given up, too.
+func (f *fanout) advance() {
+	if !f.retrying || !f.parts[f.retryPart].dead {
+		return
+	}
+	reset := f.parts[f.retryPart].resets > 1
+	for i := range f.parts {
+		p := &f.parts[i]
+		if !p.held {
+			continue
+		}
+		p.held = false
+		if !reset {
+			f.retryPart = i
+			f.launch(i, true)
+			return
+		}
+		p.dead = p.open == 0
+	}
+}
+
+// release lets the parts go on that wait since they were reset.
+func (f *fanout) release(now time.Time) {
+	f.answered = true
+	if !f.retrying {
+		return
+	}
+	f.retrying = false
+	if f.engine.Crashes.Pass(f.fingerprint, now) {
+		f.tell(now)
+	}
+	for i := range f.parts {
+		if f.parts[i].held {
+			f.parts[i].held = false
+			f.launch(i, true)
+		}
+	}
+}
+
 // tell hands the content's level on to the other VMs.
 func (f *fanout) tell(now time.Time) {
 	if f.engine.OnCrash == nil {
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -8,6 +8,7 @@
 	"arbutuslever.dev/lever/internal/leverbudget"
 	"arbutuslever.dev/lever/internal/levercrash"
 	"arbutuslever.dev/lever/internal/leverdirectory"
+	"arbutuslever.dev/lever/internal/leverevent"
 	"arbutuslever.dev/lever/internal/leverhealth"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leverlog"
@@ -32,6 +33,8 @@
 	OnCrash func([]levercrash.Entry)
 	// Metrics may be nil.
 	Metrics *levermetric.Set
+	// Events is the time line; it may be nil.
+	Events *leverevent.Line
 	// MostInFlight bounds the requests that are run at a time, 0 for no bound.
 	MostInFlight int
 	// Shares returns this VM's part of the upstreams' connections, of services
@@ -101,6 +104,7 @@
 	if route == nil {
 		return e.unrouted(req, v, e.noRoute())
 	}
+	route = req.Variant.of(route)
 	if d != nil && len(route.Shards) > 0 {
 		if out, ok := d.Run(ctx, req, v.Config.Version, route.MaxAttempts); ok {
 			return out
@@ -111,6 +115,7 @@
 	if out == nil {
 		out = f.guarded(ctx)
 	}
+	f.account(out)
 	f.end(out)
 	return out
 }
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -1,6 +1,7 @@
 package leverengine
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -52,6 +53,12 @@
 	runs, arrivals, declined int
 	// again is when the next attempt is due, if there is one.
 	again time.Time
+	// held says that the part was reset and waits until another part has been
+	// tried again.
+	held bool
+	// absent counts the upstreams that don't have what was asked for, resets
+	// those that ended the connection without an answer.
+	absent, resets int
 }
 
 // mostRuns returns the number of upstreams that a part may run on.
@@ -82,7 +89,9 @@
 	parts   []part
 	room    *leverrank.Room
 	// work is the time that the request takes at each of its services.
-	work    float64
+	work float64
+	// call is encoded with the first attempt: a request that is refused costs
+	// nothing more.
 	call    *leverpool.Call
 	results chan *attempt
 	// sent are all attempts.
@@ -104,6 +113,12 @@
 	// trial says that the content is suspect: it runs on one part first.
 	trial     bool
 	trialPart int
+	// answered says that an upstream has answered: the content crashes none.
+	answered bool
+	// retrying says that the part retryPart was reset and is being tried again,
+	// before any upstream has answered. Other parts that were reset wait for it.
+	retrying  bool
+	retryPart int
 }
 
 // tally is what has become of the attempts so far.
@@ -111,6 +126,8 @@
 	hedged, retried int
 	// ran says that an upstream may have run the request.
 	ran bool
+	// absent is what upstreams said that they have instead.
+	absent []string
 	// failure is the last answer that says that the upstream failed.
 	failure *leverpool.Reply
 	reason  string
@@ -128,10 +145,9 @@
 	for i, s := range services {
 		f.parts[i].service = s
 	}
-	f.room = e.rooms.of(services[0])
+	f.room = e.rooms.of(cmp.Or(route.Room, services[0]))
 	f.results = make(chan *attempt, len(services)*f.mostSends())
 	e.Protocol.Strip(req.Header)
-	f.call = leverpool.NewCall(req.Method, req.URI, req.Host, req.Header, req.Body)
 	wait := route.Timeout
 	if req.Wait > 0 && (wait == 0 || req.Wait < wait) {
 		wait = req.Wait
@@ -232,7 +248,7 @@
 // hedge sends a second attempt beside each one that is unusually slow.
 func (f *fanout) hedge(now time.Time) {
 	f.hedgeAt = f.hedgeAt.Add(f.engine.Health.SlowAfter(f.class))
-	if !f.route.Repeatable || f.trial {
+	if !f.route.Repeatable || f.trial || f.retrying {
 		return
 	}
 	for i := range f.parts {
@@ -304,6 +320,13 @@
 	}
 	f.noteAttempt(r)
 	f.crashed(r)
+	switch r.kind {
+	case leverhealth.Absent:
+		p.absent++
+		f.absent = append(f.absent, r.mark.Absent)
+	case leverhealth.Reset:
+		p.resets++
+	}
 	if r.kind == leverhealth.Good && f.counts(r) {
 		if !p.done {
 			p.done, p.dead, p.reply, p.signature = true, false, r.reply, r.mark.Signature
@@ -322,6 +345,7 @@
 	}
 	f.reason = resultNames[r.kind] + " by " + string(r.upstream.ID)
 	f.after(r, p)
+	f.advance()
 }
 
 // counts reports whether a whole answer settles a part. Only a success is a
@@ -340,6 +364,9 @@
 		p.dead = p.open == 0
 	case p.open > 0:
 		// Another attempt is under way.
+	case r.kind == leverhealth.Absent && p.absent >= len(f.engine.Directory.View().Upstreams(p.service)):
+		p.dead = true
+	case r.kind == leverhealth.Reset && f.hold(r.part):
 	case p.declined >= refusals:
 		p.again = f.engine.Timer.Now().Add(againPause)
 	default:
--- a/internal/leverengine/request.go
+++ b/internal/leverengine/request.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"arbutuslever.dev/lever/internal/leverdirectory"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leverpool"
 )
@@ -29,11 +30,37 @@
 	// Spent is the number of attempts at each part that another VM may have
 	// made for the request.
 	Spent int
+	// Variant, if set, changes the route's terms for this request.
+	Variant *Variant
 	// Confirmed, if set, reports whether the VM that the request came from
 	// still waits for it. Until then each part gets one attempt.
 	Confirmed func() bool
 }
 
+// Variant is what a request changes of its route's terms, where callers state
+// them with each request.
+type Variant struct {
+	Rank leverid.Rank `msgpack:"r"`
+	// Once marks a request that must not run twice. It goes to Shard alone.
+	Once  bool            `msgpack:"o"`
+	Shard leverid.ShardID `msgpack:"s"`
+}
+
+// of returns the route as the request wants it.
+func (v *Variant) of(r *leverdirectory.Route) *leverdirectory.Route {
+	if v == nil {
+		return r
+	}
+	own := *r
+	own.Rank = v.Rank
+	if v.Once && int(v.Shard) < len(r.Shards) {
+		own.Repeatable = false
+		own.Targets = []leverdirectory.Target{{Service: r.Shards[v.Shard], Weight: 1}}
+		own.Shards = nil
+	}
+	return &own
+}
+
 // Fingerprint identifies the request's content without its id.
 func (r *Request) Fingerprint() leverid.Fingerprint {
 	return leverid.Fingerprint(leverid.Hash(r.Method, r.Host, r.URI, string(r.Body)))
@@ -78,6 +105,18 @@
 	Records    []byte
 	Signatures []string
 	Missing    int
+	// Parts are the answers of the shards of a route without a record size,
+	// nil for those that are not in.
+	Parts [][]byte
+	// Absent is what upstreams said that they have instead of what was asked.
+	Absent []string
+	// Cause tells apart why a request was refused.
+	Cause Cause
+	// Ran says that an upstream may have run the request.
+	Ran bool
+	// Attempts counts the calls of upstreams; Hedged and Retried those beside
+	// and after others.
+	Attempts, Hedged, Retried int
 	// RetryAfter is when to come back after NotReady and NotRun.
 	RetryAfter time.Duration
 	// At is when an answer of several parts was decided on, or came from the VM
@@ -87,12 +126,33 @@
 	Reason string
 }
 
+// Cause tells apart why a request was refused.
+type Cause uint8
+
+// The causes.
+const (
+	// NoCause stands for all others: upstreams declined or failed.
+	NoCause Cause = iota
+	// NoRoom means that there is no room for work of the request's rank.
+	NoRoom
+	// OnTrial means that the request's content is suspected of crashing
+	// upstreams and that another request with it is being tried.
+	OnTrial
+	// Barred means that the content crashed upstreams.
+	Barred
+)
+
 // Mark is what an upstream says about a call beside the answer itself.
 type Mark struct {
 	// Request is the id of the request that is answered.
 	Request leverid.RequestID
+	// Service is the shard that was asked, where the protocol says it.
+	Service leverid.ServiceID
 	// Signature shows who answered; a success without one is no answer.
 	Signature string
+	// Absent is set if the upstream does not have what was asked for, and says
+	// what it has. The request has not run.
+	Absent string
 	// NotRun says that the upstream did not run the request.
 	NotRun bool
 	// Promise says that the status promises a caller that its request has not
@@ -110,7 +170,7 @@
 	Strip(h http.Header)
 	// Stamp returns the headers of one attempt: the time that is left and the
 	// upstream that is meant.
-	Stamp(left time.Duration, expect leverid.UpstreamID) http.Header
+	Stamp(left time.Duration, u *leverdirectory.Upstream) http.Header
 	// Read returns what an answer's head says.
 	Read(status int, h http.Header) Mark
 }
--- a/internal/leverengine/story.go
+++ b/internal/leverengine/story.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"arbutuslever.dev/lever/internal/leverevent"
 	"arbutuslever.dev/lever/internal/leverhealth"
 	"arbutuslever.dev/lever/internal/levermetric"
 )
@@ -12,7 +13,7 @@
 var resultNames = map[leverhealth.Result]string{
 	leverhealth.Good: "good", leverhealth.Shed: "shed", leverhealth.Elsewhere: "elsewhere",
 	leverhealth.Failed: "failed", leverhealth.Reset: "reset", leverhealth.Refused: "refused",
-	leverhealth.GivenUp: "given-up", leverhealth.Withdrawn: "withdrawn",
+	leverhealth.GivenUp: "given-up", leverhealth.Withdrawn: "withdrawn", leverhealth.Absent: "absent",
 }
 
 // round is the precision of times in the log.
@@ -37,6 +38,14 @@
 	f.engine.Metrics.Add(levermetric.Name("upstream-beliefs", "belief", string(b)), 1)
 	f.engine.Log.Info("an upstream is believed anew", "upstream", a.upstream.ID, "service", a.upstream.Service, "address", a.upstream.Address,
 		"belief", b, "after", resultNames[a.kind], "id", f.req.ID)
+	if f.engine.Events == nil {
+		return
+	}
+	kind := leverevent.UpstreamDown
+	if b == leverhealth.Sound {
+		kind = leverevent.UpstreamUp
+	}
+	f.engine.Events.Add(kind, string(a.upstream.ID), string(b))
 }
 
 // noteExtra logs an attempt beside or after another one.
--- a/internal/leverhealth/table.go
+++ b/internal/leverhealth/table.go
@@ -35,6 +35,8 @@
 	GivenUp
 	// Withdrawn means that the call was given up before it was sent.
 	Withdrawn
+	// Absent means that the upstream is well and does not have what was asked.
+	Absent
 )
 
 const (
@@ -211,6 +213,8 @@
 		}
 	}
 	switch r {
+	case Absent:
+		s.heard = now
 	case Good:
 		s.heard = now
 		s.pause = 0
--- a/internal/levernode/crash.go
+++ b/internal/levernode/crash.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"arbutuslever.dev/lever/internal/levercrash"
+	"arbutuslever.dev/lever/internal/leverevent"
 	"arbutuslever.dev/lever/internal/levermsg"
 	"arbutuslever.dev/lever/internal/leverpeer"
 	"arbutuslever.dev/lever/internal/leverrelay"
@@ -25,6 +26,7 @@
 // tellCrashes has the other VMs told. It does not block; what finds the queue
 // full is left to the VMs' own evidence.
 func (n *Node) tellCrashes(entries []levercrash.Entry) {
+	n.noteCrashes(entries)
 	n.board.AddCrashes(entries)
 	select {
 	case n.crashes <- entries:
@@ -33,6 +35,16 @@
 	}
 }
 
+var crashKinds = map[levercrash.Level]leverevent.Kind{
+	levercrash.Clear: leverevent.CrashCleared, levercrash.Suspect: leverevent.CrashSuspect, levercrash.Barred: leverevent.CrashBarred,
+}
+
+func (n *Node) noteCrashes(entries []levercrash.Entry) {
+	for _, e := range entries {
+		n.events.Add(crashKinds[e.Level], e.Fingerprint.String(), string(e.Upstream))
+	}
+}
+
 // runCrashes reports to the VMs that watch the store; the relay carries the
 // reports on to all others.
 func (n *Node) runCrashes(ctx context.Context) {
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -3,8 +3,11 @@
 package levernode
 
 import (
+	"cmp"
 	"context"
+	"crypto/tls"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -81,10 +84,17 @@
 	Protocol leverengine.Protocol
 	Terms    leverbudget.Terms
 	Seeds    []levermsg.VM
-	// PeerKey is shown to other VMs, which must have the same.
-	PeerKey string
-	Log     leverlog.Logger
-	Metrics *levermetric.Set
+	// PeerKeys are shown to other VMs, which must have the same.
+	PeerKeys *leverpeer.Keys
+	// TLS is for connections to other VMs, nil for plain TCP.
+	TLS *tls.Config
+	// Requests serves the kinds of peer request that the node itself does not
+	// know; it may be nil.
+	Requests leverpeer.Handler
+	// OnConfig, if set, is called when a configuration has come into force.
+	OnConfig func(*leverdirectory.Config)
+	Log      leverlog.Logger
+	Metrics  *levermetric.Set
 	// MostInFlight bounds the requests that are run at a time, 0 for no bound.
 	MostInFlight int
 	// Dial replaces the TCP dialer, in tests.
@@ -111,8 +121,10 @@
 	upstreams *leverfeed.Follower[leverdirectory.Upstream]
 	vms       *leverfeed.Follower[levermsg.VM]
 	stopping  atomic.Bool
-	cancel    context.CancelFunc
-	listener  net.Listener
+	// heard is when the store or another VM last answered, in Unix nanoseconds.
+	heard    atomic.Int64
+	cancel   context.CancelFunc
+	listener net.Listener
 	// registered says that this VM's own entry was written.
 	registered atomic.Bool
 	register   chan struct{}
@@ -133,7 +145,7 @@
 		Domain: o.Self.Domain, Timer: n.timer, Log: o.Log.For("engine"), Directory: directory,
 		Health: &leverhealth.Table{}, Budget: n.budget, Pool: &leverpool.Pool{Dial: o.Dial}, Protocol: o.Protocol,
 		Shares: n.shares, Current: n.board.Current, Crashes: &levercrash.Guard{}, OnCrash: n.tellCrashes, Metrics: o.Metrics,
-		MostInFlight: o.MostInFlight,
+		MostInFlight: o.MostInFlight, Events: n.events,
 	}
 	directory.OnChange = n.engine.Changed
 	n.peerParts()
@@ -151,10 +163,10 @@
 
 func (n *Node) peerParts() {
 	o := n.opts
-	keys := leverpeer.NewKeys(o.PeerKey)
+	keys := o.PeerKeys
 	h := &hooks{node: n}
-	n.relays = &leverpeer.Client{Self: o.Self, Keys: keys, Hooks: h, Timer: n.timer, Counters: n.counters, Quiet: relayQuiet, Dead: relayDead, Dial: o.Dial}
-	n.runs = &leverpeer.Client{Self: o.Self, Keys: keys, Hooks: h, Timer: n.timer, Counters: n.counters, Dial: o.Dial}
+	n.relays = &leverpeer.Client{Self: o.Self, Keys: keys, Hooks: h, Timer: n.timer, Counters: n.counters, TLS: o.TLS, Quiet: relayQuiet, Dead: relayDead, Dial: o.Dial}
+	n.runs = &leverpeer.Client{Self: o.Self, Keys: keys, Hooks: h, Timer: n.timer, Counters: n.counters, TLS: o.TLS, Dial: o.Dial}
 	n.relay = &leverrelay.Relay{
 		Self: o.Self.ID, Members: n.members, Peers: n.relays, Board: n.board, Timer: n.timer,
 		Log: o.Log.For("relay"), Seeds: o.Seeds, Watch: n.watch, StoreCurrent: n.storeCurrent,
@@ -214,6 +226,9 @@
 func (n *Node) takeConfigs(list []*leverdirectory.Config) {
 	for _, c := range list {
 		if n.engine.Directory.SetConfig(c) {
+			if n.opts.OnConfig != nil {
+				n.opts.OnConfig(c)
+			}
 			n.log.Info("a configuration is in force", "version", c.Version, "routes", len(c.Routes))
 		}
 	}
@@ -222,11 +237,12 @@
 func (n *Node) takeVMs(list []levermsg.VM) {
 	own := false
 	for i := range list {
-		list[i].State = levermsg.Live
+		list[i].State = cmp.Or(list[i].State, levermsg.Live)
 		own = own || list[i].ID == n.opts.Self.ID
 	}
 	if n.members.SetList(list) {
 		n.log.Info("the list of VMs has changed", "vms", len(list))
+		n.events.Add(leverevent.ListChanged, strconv.Itoa(len(list)), "")
 	}
 	if !own && n.registered.Load() && !n.stopping.Load() {
 		// Another VM took this one for gone.
@@ -249,6 +265,30 @@
 // Runs reports whether this VM runs the fan-outs of its failure domain.
 func (n *Node) Runs() bool { return n.delegate.Runs() }
 
+// Silence returns for how long neither the store nor another VM has answered.
+func (n *Node) Silence() time.Duration {
+	now := n.timer.Now()
+	if n.storeCurrent() {
+		return 0
+	}
+	return time.Duration(now.UnixNano() - n.heard.Load())
+}
+
+// Timer returns the node's timer service.
+func (n *Node) Timer() *levertimer.Service { return n.timer }
+
+// Events returns the node's time line.
+func (n *Node) Events() *leverevent.Line { return n.events }
+
+// Counters returns the counters of the connections to other VMs.
+func (n *Node) Counters() *leverevent.Counters { return n.counters }
+
+// Members returns the node's view of the other VMs.
+func (n *Node) Members() *levermember.View { return n.members }
+
+// Peers returns the connections to other VMs.
+func (n *Node) Peers() *leverpeer.Client { return n.relays }
+
 // Engine returns the part that runs requests.
 func (n *Node) Engine() *leverengine.Engine { return n.engine }
 
@@ -260,6 +300,8 @@
 
 // Start begins to follow the store and to serve peers. It returns at once.
 func (n *Node) Start(peers net.Listener) {
+	n.events.Add(leverevent.Started, string(n.opts.Self.ID), "")
+	n.heard.Store(n.timer.Now().UnixNano())
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.listener = peers
--- a/internal/levernode/peers.go
+++ b/internal/levernode/peers.go
@@ -1,6 +1,7 @@
 package levernode
 
 import (
+	"arbutuslever.dev/lever/internal/leverevent"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/levermsg"
 	"arbutuslever.dev/lever/internal/leverpeer"
@@ -25,14 +26,17 @@
 	n := h.node
 	now := n.timer.Now()
 	n.events.Observe(r.Stamp)
+	n.heard.Store(now.UnixNano())
 	n.members.Met(vm, now)
 	if n.members.Answered(vm.ID) {
 		n.log.Info("a peer answers again", "peer", vm.ID)
+		n.events.Add(leverevent.PeerUp, string(vm.ID), "")
 	}
 	if !r.Leaving {
 		n.members.Stays(vm.ID)
 	} else if n.members.Left(vm.ID, now) {
 		n.log.Info("a peer is leaving", "peer", vm.ID)
+		n.events.Add(leverevent.PeerLeaving, string(vm.ID), "")
 	}
 }
 
@@ -40,6 +44,7 @@
 func (h *hooks) Down(id leverid.VMID, reason error) {
 	if h.node.members.Failed(id, h.node.timer.Now()) {
 		h.node.log.Warn("a peer is down", "peer", id, "err", reason)
+		h.node.events.Add(leverevent.PeerDown, string(id), reason.Error())
 	}
 }
 
@@ -58,5 +63,8 @@
 	case leverpeer.KindCrashes:
 		return d.node.serveCrashes(r)
 	}
+	if d.node.opts.Requests != nil {
+		return d.node.opts.Requests.Serve(r)
+	}
 	return errors.NotSupportedf("request of kind %d", r.Kind)
 }
