--- a/cmd/arbutusctl/fleet.go
+++ b/cmd/arbutusctl/fleet.go
@@ -46,8 +46,7 @@
 	Attempts int64     `json:"attempts"`
 	Hedges   int64     `json:"hedges"`
 	Retries  int64     `json:"retries"`
-	Waiting  int       `json:"waiting"`
-	Running  int       `json:"running"`
+	InFlight int       `json:"in-flight"`
 	Silent   []string  `json:"silent"`
 }
 
@@ -67,7 +66,7 @@
 	}
 	c.printf("shards covered %d of %d needed; attempts %d, hedges %d, retries %d\n",
 		row.Covered, row.Needed, row.Attempts, row.Hedges, row.Retries)
-	c.printf("at homes: %d waiting, %d running\n", row.Waiting, row.Running)
+	c.printf("in flight: %d\n", row.InFlight)
 	if len(row.Silent) > 0 {
 		c.printf("no answer: %s\n", strings.Join(row.Silent, ", "))
 	}
@@ -88,8 +87,7 @@
 	row.Needed, row.Covered, row.Attempts = sum("shards-needed"), sum("shards-covered"), sum("attempts")
 	row.Hedges, row.Retries = sum("hedges"), sum("retries")
 	for _, vm := range s.VMs {
-		row.Waiting += vm.Waiting
-		row.Running += vm.Running
+		row.InFlight += vm.InFlight
 	}
 	return row
 }
--- a/cmd/arbutuslever/daemon.go
+++ b/cmd/arbutuslever/daemon.go
@@ -18,7 +18,6 @@
 	"arbutuslever.dev/lever/internal/leverpeer"
 	"arbutuslever.dev/lever/internal/leversettings"
 	"arbutuslever.dev/lever/internal/leverstore"
-	"arbutuslever.dev/lever/internal/leverupstream"
 
 	"github.com/juju/errors"
 )
@@ -86,10 +85,10 @@
 		},
 		PeerKeys: d.peerKeys,
 		Store:    &leverstore.Client{Base: s.Platform, Token: s.PlatformToken, Timeout: storeTimeout},
-		Upstream: leverupstream.NewHTTPClient(s.UpstreamConnections),
 		Log:      d.log,
 		TLS:      clientTLS,
-		Seed:     uint64(time.Now().UnixNano()),
+
+		MostConnections: s.UpstreamConnections,
 	}
 	for _, seed := range s.Seeds {
 		o.Seeds = append(o.Seeds, levermsg.VM{ID: seed.VM, Peer: seed.Peer, State: levermsg.Live})
@@ -117,8 +116,7 @@
 func (d *daemon) serve() error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	d.node.Start()
-	go d.runPeers()
+	d.node.Start(d.peers)
 	go d.runCallers()
 	d.log.For("daemon").Info("the process has started", "callers", d.settings.CallerListen, "peers", d.settings.PeerListen)
 	for s := range signals {
@@ -130,8 +128,6 @@
 	return d.stop()
 }
 
-func (d *daemon) runPeers() { d.node.Server().Run(d.peers) }
-
 func (d *daemon) runCallers() {
 	if err := d.http.Serve(d.callers); !errors.Is(err, http.ErrServerClosed) {
 		d.log.For("daemon").Error("the callers' listener ended", "err", err)
@@ -166,7 +162,6 @@
 		err = drained
 	}
 	d.node.Stop()
-	_ = d.peers.Close()
 	if err != nil {
 		l.Error("the stop cut requests", "err", err)
 		return err
--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -43,6 +43,18 @@
 	storeSilence = time.Second
 )
 
+func init() { faces.Register("entry", serveEntry) }
+
+// serveEntry runs the process on the users' platform.
+func serveEntry([]string) error {
+	path := os.Getenv(platform.SettingsVariable)
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	return newEntry(path, s).serve()
+}
+
 // entry is the process on the users' platform.
 type entry struct {
 	path     string
--- a/cmd/arbutuslever/main.go
+++ b/cmd/arbutuslever/main.go
@@ -3,9 +3,10 @@
 
 import (
 	"os"
+	"strings"
 
+	"arbutuslever.dev/lever/internal/leverplug"
 	"arbutuslever.dev/lever/internal/leversettings"
-	"arbutuslever.dev/lever/platform"
 
 	"github.com/jessevdk/go-flags"
 )
@@ -22,50 +23,57 @@
 	LogLevel     string `long:"log-level" description:"debug, info, warn or error"`
 }
 
+// face runs the process towards one kind of caller, store and upstream. The
+// arguments are those of the command line.
+type face func(args []string) error
+
+// faces holds what the first argument of the command line can name. Each face
+// registers itself.
+var faces leverplug.Registry[face]
+
+// ownFace is the one without a first argument.
+const ownFace = "own"
+
+func init() { faces.Register(ownFace, serveOwn) }
+
 func main() {
-	if len(os.Args) > 1 && os.Args[1] == "entry" {
-		mainEntry()
-		return
+	name, args := ownFace, os.Args[1:]
+	if len(args) > 0 && !strings.HasPrefix(args[0], "-") {
+		name, args = args[0], args[1:]
+	}
+	serve, err := faces.Lookup(name)
+	if err == nil {
+		err = serve(args)
 	}
+	if err != nil {
+		os.Stderr.WriteString("arbutuslever: " + err.Error() + "\n")
+		os.Exit(1)
+	}
+}
+
+// serveOwn runs the product's own face.
+func serveOwn(args []string) error {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
+	if _, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args); err != nil {
 		if e, ok := err.(*flags.Error); ok && e.Type == flags.ErrHelp {
-			return
+			os.Stdout.WriteString(e.Message + "\n")
+			return nil
 		}
-		os.Exit(1)
+		return err
 	}
 	s, err := o.load()
 	if err != nil {
-		fail(err)
+		return err
 	}
 	if o.Check {
 		os.Stdout.WriteString(o.Settings + ": ok\n")
-		return
+		return nil
 	}
 	d, err := newDaemon(s, o.load)
 	if err != nil {
-		fail(err)
-	}
-	if err := d.serve(); err != nil {
-		fail(err)
+		return err
 	}
-}
-
-// mainEntry runs the process on the users' platform.
-func mainEntry() {
-	path := os.Getenv(platform.SettingsVariable)
-	s, err := platform.LoadSettings(path)
-	if err != nil {
-		fail(err)
-	}
-	if err := newEntry(path, s).serve(); err != nil {
-		fail(err)
-	}
-}
-
-func fail(err error) {
-	os.Stderr.WriteString("arbutuslever: " + err.Error() + "\n")
-	os.Exit(1)
+	return d.serve()
 }
 
 // load reads the file, lays the flags over it and checks the result.
--- a/internal/leverbudget/budget.go
+++ b/internal/leverbudget/budget.go
@@ -61,6 +61,14 @@
 	last            int64
 }
 
+// Begin says when the process began: the slack grows from there on. Without it
+// that is the time of the first use.
+func (b *Budget) Begin(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.began = now
+}
+
 // SetShare says which part of the slack is this VM's.
 func (b *Budget) SetShare(part float64) {
 	b.mu.Lock()
--- a/internal/leverconfig/config_test.go
+++ b/internal/leverconfig/config_test.go
@@ -21,10 +21,11 @@
 		"not JSON":           {`{`, "unexpected EOF"},
 		"unknown section":    {`{"servces": {}}`, "servces"},
 		"unknown key":        {`{"services": {"a": {"least-covrage": 1}}}`, "services.a.least-covrage: unknown key"},
-		"out of bounds":      {`{"defaults": {"retry-part": 2}}`, "defaults.retry-part"},
-		"not a number":       {`{"defaults": {"retry-part": "much"}}`, "defaults.retry-part"},
-		"unknown policy":     {`{"defaults": {"admission": "all"}}`, "defaults.admission"},
+		"out of bounds":      {`{"defaults": {"least-coverage": 2}}`, "defaults.least-coverage"},
+		"not a number":       {`{"defaults": {"least-coverage": "much"}}`, "defaults.least-coverage"},
 		"floors beyond sum":  {`{"defaults": {"floor-urgent": 0.7, "floor-routine": 0.2, "floor-bulk": 0.2}}`, "floors sum up"},
+		"unknown choice":     {`{"defaults": {"on-short": "all"}}`, "defaults.on-short"},
+		"key of old":         {`{"defaults": {"retry-part": 0.2}, "system": {"watchers": 3}}`, ""},
 		"deadlines":          {`{"defaults": {"default-deadline-ms": 20000}}`, "default-deadline-ms"},
 		"claims too short":   {`{"system": {"claim-keep-s": 180}, "defaults": {"max-deadline-ms": 60000}}`, ""},
 		"section not object": {`{"system": 3}`, "system"},
@@ -69,7 +70,7 @@
 	is := is.New(t)
 	var s leverconfig.Stored
 	now := time.Unix(0, 0)
-	next, err := s.Apply(&leverconfig.Patch{ID: "a", Merge: json.RawMessage(`{"services": {"x": {"hedge": "none"}}}`)}, now)
+	next, err := s.Apply(&leverconfig.Patch{ID: "a", Merge: json.RawMessage(`{"services": {"x": {"on-short": "answer"}}}`)}, now)
 	is.NoErr(err)
 	is.Equal(next.Version, leverid.ConfigVersion(1))
 	_, err = next.Apply(&leverconfig.Patch{ID: "b", Merge: json.RawMessage(`{}`)}, now)
@@ -89,9 +90,9 @@
 // FuzzPatch applies any bytes as a patch: the result is valid or there is an
 // error, and the base is never changed.
 func FuzzPatch(f *testing.F) {
-	f.Add(`{"services": {"x": {"hedge": "none"}}}`)
+	f.Add(`{"services": {"x": {"on-short": "answer"}}}`)
 	f.Add(`{"defaults": null}`)
-	f.Add(`{"system": {"routing": "direct"}, "defaults": {"floor-bulk": 0.5}}`)
+	f.Add(`{"system": {"extra-part": 0.2}, "defaults": {"least-coverage": 0.5}}`)
 	f.Add(`[1]`)
 	f.Fuzz(func(t *testing.T, merge string) {
 		base := &leverconfig.Stored{Version: 3, Document: json.RawMessage(`{"defaults":{"retry-part":0.2}}`)}
--- a/internal/leverconfig/setting.go
+++ b/internal/leverconfig/setting.go
@@ -9,10 +9,7 @@
 	"strconv"
 	"strings"
 
-	"arbutuslever.dev/lever/internal/leverlimit"
 	"arbutuslever.dev/lever/internal/leverrank"
-	"arbutuslever.dev/lever/internal/leverretry"
-	"arbutuslever.dev/lever/internal/leverroute"
 
 	"github.com/juju/errors"
 )
@@ -94,6 +91,9 @@
 		return errors.NotValidf("%s: %s (want an object)", path, raw)
 	}
 	for _, key := range sortedKeys(members) {
+		if slices.Contains(retired, key) {
+			continue
+		}
 		i := slices.IndexFunc(table, func(s Setting[T]) bool { return s.Key == key })
 		if i < 0 {
 			return errors.NotValidf("%s.%s: unknown key", path, key)
@@ -105,6 +105,13 @@
 	return nil
 }
 
+// retired are keys of earlier releases. A document that has them stays valid;
+// they have no effect.
+var retired = []string{
+	"admission", "limit", "retry", "retry-part", "hedge", "hedge-part", "hedge-quantile", "watchers", "backstop-s",
+	"home-group", "direct-divisor",
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
@@ -114,11 +121,26 @@
 	return keys
 }
 
+// The choices of on-short.
+const (
+	// Wait holds an answer for all shards until the deadline.
+	Wait = "wait"
+	// Answer gives what is there at answer-after-ms.
+	Answer = "answer"
+)
+
+// The choices of routing.
+const (
+	// Homes has the calls of each upstream go through one VM.
+	Homes = "homes"
+	// Direct has each VM call upstreams itself.
+	Direct = "direct"
+)
+
 // Service is the configuration of one service.
 type Service struct {
 	FloorUrgent, FloorRoutine, FloorBulk float64
-	Admission, Limit, Retry, Hedge       string
-	RetryPart, HedgePart, HedgeQuantile  float64
+	MaxAttempts                          float64
 	LeastCoverage                        float64
 	OnShort                              string
 	AnswerAfterMS                        float64
@@ -133,17 +155,16 @@
 
 // System is the configuration that all services share.
 type System struct {
-	Routing       string
-	ClaimKeepS    float64
-	MaxInFlight   float64
-	Watchers      float64
-	BackstopS     float64
-	StopWaitMS    float64
-	StopLimitMS   float64
-	StoreRate     float64
-	ClaimRate     float64
-	HomeGroup     float64
-	DirectDivisor float64
+	Routing      string
+	ExtraPart    float64
+	ExtraSlack   float64
+	ExtraWindowS float64
+	ClaimKeepS   float64
+	MaxInFlight  float64
+	StopWaitMS   float64
+	StopLimitMS  float64
+	StoreRate    float64
+	ClaimRate    float64
 }
 
 func fixed(choices ...string) func() []string { return func() []string { return choices } }
@@ -153,41 +174,23 @@
 	{Key: "floor-urgent", Unit: "part of capacity", Default: "0", Max: 0.9,
 		Doc:    "capacity kept for urgent work while it has demand",
 		number: func(s *Service) *float64 { return &s.FloorUrgent }},
-	{Key: "floor-routine", Unit: "part of capacity", Default: "0.2", Max: 0.9,
+	{Key: "floor-routine", Unit: "part of capacity", Default: "0.25", Max: 0.9,
 		Doc:    "capacity kept for routine work while it has demand",
 		number: func(s *Service) *float64 { return &s.FloorRoutine }},
 	{Key: "floor-bulk", Unit: "part of capacity", Default: "0.07", Max: 0.9,
 		Doc:    "capacity kept for bulk work while it has demand",
 		number: func(s *Service) *float64 { return &s.FloorBulk }},
-	{Key: "admission", Default: "floors", Choices: leverrank.Admitters.Names,
-		Doc:  "what is let in before the fan-out; open lets all in",
-		text: func(s *Service) *string { return &s.Admission }},
-	{Key: "limit", Default: "adaptive", Choices: leverlimit.Limiters.Names,
-		Doc:  "how many attempts an upstream gets at a time",
-		text: func(s *Service) *string { return &s.Limit }},
-	{Key: "retry", Default: "budget", Choices: leverretry.Budgets.Names,
-		Doc:  "what bounds further attempts",
-		text: func(s *Service) *string { return &s.Retry }},
-	{Key: "retry-part", Unit: "part of first attempts", Default: "0.1", Max: 1,
-		Doc:    "how many attempts may be repeated",
-		number: func(s *Service) *float64 { return &s.RetryPart }},
-	{Key: "hedge", Default: "quantile", Choices: leverretry.Hedgers.Names,
-		Doc:  "when a slow attempt gets a second one beside it",
-		text: func(s *Service) *string { return &s.Hedge }},
-	{Key: "hedge-part", Unit: "part of first attempts", Default: "0.05", Max: 1,
-		Doc:    "how many attempts may be hedged",
-		number: func(s *Service) *float64 { return &s.HedgePart }},
-	{Key: "hedge-quantile", Unit: "quantile", Default: "0.95", Min: 0.5, Max: 0.999,
-		Doc:    "the latency quantile after which a hedge is sent",
-		number: func(s *Service) *float64 { return &s.HedgeQuantile }},
+	{Key: "max-attempts", Unit: "upstreams", Default: "2", Min: 1, Max: 16,
+		Doc:    "upstreams that a query may run on, for each shard",
+		number: func(s *Service) *float64 { return &s.MaxAttempts }},
 	{Key: "least-coverage", Unit: "part of shards", Default: "0.5", Max: 1,
 		Doc:    "an answer that covers less is refused as incomplete",
 		number: func(s *Service) *float64 { return &s.LeastCoverage }},
-	{Key: "on-short", Default: "wait", Choices: fixed("wait", "answer"),
+	{Key: "on-short", Default: Wait, Choices: fixed(Wait, Answer),
 		Doc:  "wait for missing shards to the deadline, or answer at answer-after-ms",
 		text: func(s *Service) *string { return &s.OnShort }},
 	{Key: "answer-after-ms", Unit: "ms", Default: "200", Min: 1, Max: 60000,
-		Doc:    "when to answer with the least coverage, if on-short is answer",
+		Doc:    "aim for an answer; with on-short answer, when to answer with the least coverage",
 		number: func(s *Service) *float64 { return &s.AnswerAfterMS }},
 	{Key: "default-deadline-ms", Unit: "ms", Default: "1000", Min: 1, Max: 60000,
 		Doc:    "deadline of a request that names none",
@@ -202,21 +205,24 @@
 
 // SystemSettings is the table of the system's keys.
 var SystemSettings = []Setting[System]{
-	{Key: "routing", Default: "homes", Choices: leverroute.Routers.Names,
-		Doc:  "call upstreams through their home VM, or direct from each VM",
+	{Key: "routing", Default: Homes, Choices: fixed(Homes, Direct),
+		Doc:  "call each upstream through one VM, its home, or direct from each VM",
 		text: func(s *System) *string { return &s.Routing }},
+	{Key: "extra-part", Unit: "part of queries", Default: "0.1", Max: 1,
+		Doc:    "how many attempts all VMs together may make beside and after the first ones",
+		number: func(s *System) *float64 { return &s.ExtraPart }},
+	{Key: "extra-slack", Unit: "attempts", Default: "100", Max: 10000,
+		Doc:    "attempts of that kind in each window that may be made whatever the number of queries, by service",
+		number: func(s *System) *float64 { return &s.ExtraSlack }},
+	{Key: "extra-window-s", Unit: "s", Default: "10", Min: 1, Max: 600,
+		Doc:    "length of the window in which both are counted",
+		number: func(s *System) *float64 { return &s.ExtraWindowS }},
 	{Key: "claim-keep-s", Unit: "s", Default: "900", Min: 180, Max: 86400,
 		Doc:    "how long the id of a request that is not repeatable stays claimed",
 		number: func(s *System) *float64 { return &s.ClaimKeepS }},
 	{Key: "max-in-flight", Unit: "requests", Default: "4000", Min: 1, Max: 1e6,
 		Doc:    "requests that one VM works on at a time",
 		number: func(s *System) *float64 { return &s.MaxInFlight }},
-	{Key: "watchers", Unit: "VMs", Default: "3", Min: 1, Max: 16,
-		Doc:    "VMs that watch the store for all others",
-		number: func(s *System) *float64 { return &s.Watchers }},
-	{Key: "backstop-s", Unit: "s", Default: "30", Min: 5, Max: 3600,
-		Doc:    "least time between two reads of the store by a VM that does not watch",
-		number: func(s *System) *float64 { return &s.BackstopS }},
 	{Key: "stop-wait-ms", Unit: "ms", Default: "2000", Max: 60000,
 		Doc:    "how long a stopping VM still takes requests in, so that the balancer sees it",
 		number: func(s *System) *float64 { return &s.StopWaitMS }},
@@ -229,10 +235,4 @@
 	{Key: "claim-rate", Unit: "calls/s", Default: "200", Min: 1, Max: 100000,
 		Doc:    "calls that all VMs together make to the store for claims; each VM has an equal part",
 		number: func(s *System) *float64 { return &s.ClaimRate }},
-	{Key: "home-group", Unit: "VMs", Default: "32", Min: 1, Max: 10000,
-		Doc:    "VMs that are homes of one service's upstreams, in a fleet that has more",
-		number: func(s *System) *float64 { return &s.HomeGroup }},
-	{Key: "direct-divisor", Unit: "VMs", Default: "7", Min: 1, Max: 10000,
-		Doc:    "VMs that divide an upstream's slots under routing direct",
-		number: func(s *System) *float64 { return &s.DirectDivisor }},
 }
--- a/internal/leverconfig/submit.go
+++ b/internal/leverconfig/submit.go
@@ -43,9 +43,6 @@
 	// Version is the accepted version, or the present one after a conflict.
 	Version leverid.ConfigVersion `json:"version"`
 	Detail  string                `json:"detail,omitempty"`
-
-	// Object is what the store holds after an accepted patch.
-	Object leverstore.Object `json:"-"`
 }
 
 // Submitter brings patches into the store. Its exported fields must be set
@@ -138,12 +135,10 @@
 	if err != nil {
 		return Outcome{Verdict: Rejected, Version: cur.Version, Detail: err.Error()}, true, nil
 	}
-	newRev, err := s.Store.Put(ctx, leverstore.ConfigKey, value, rev)
-	if err != nil {
+	if _, err := s.Store.Put(ctx, leverstore.ConfigKey, value, rev); err != nil {
 		return Outcome{}, false, err
 	}
-	o := leverstore.Object{Key: leverstore.ConfigKey, Revision: newRev, Value: value}
-	return Outcome{Verdict: Accepted, Version: next.Version, Object: o}, true, nil
+	return Outcome{Verdict: Accepted, Version: next.Version}, true, nil
 }
 
 func (s *Submitter) read(ctx context.Context) (*Stored, leverstore.Revision, error) {
--- a/internal/leverdirectory/config.go
+++ b/internal/leverdirectory/config.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverid"
+	"arbutuslever.dev/lever/internal/leverrank"
 )
 
 // Target is one service of a route that sends each request to one upstream.
@@ -52,6 +53,8 @@
 	// Room names the routes that compete for the same upstreams; the first
 	// service does if it is empty.
 	Room leverid.ServiceID
+	// Floors are what the ranks keep of the room; without any, defaults count.
+	Floors leverrank.Floors
 }
 
 // Service is what a configuration says of one service.
--- a/internal/leverengine/admit.go
+++ b/internal/leverengine/admit.go
@@ -24,7 +24,7 @@
 	byService map[leverid.ServiceID]*leverrank.Room
 }
 
-func (r *rooms) of(s leverid.ServiceID) *leverrank.Room {
+func (r *rooms) of(s leverid.ServiceID, floors leverrank.Floors) *leverrank.Room {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.byService == nil {
@@ -32,7 +32,7 @@
 	}
 	room := r.byService[s]
 	if room == nil {
-		room = &leverrank.Room{}
+		room = &leverrank.Room{Floors: floors}
 		r.byService[s] = room
 	}
 	return room
@@ -54,3 +54,19 @@
 	pause := time.Duration(float64(comeBack) / max(f.room.Fraction(f.route.Rank), 0.01))
 	return &Outcome{Verdict: NotRun, Cause: NoRoom, RetryAfter: min(pause, longestComeBack), Reason: "no room for this rank"}
 }
+
+// refusingPart is the part of refused calls from which on an upstream counts as
+// one that refuses.
+const refusingPart = 0.05
+
+// allRefuse reports whether all upstreams of a service refuse calls: they have no
+// room, while a single one that refuses may be failing.
+func (f *fanout) allRefuse(s leverid.ServiceID) bool {
+	now := f.engine.Timer.Now()
+	for _, u := range f.engine.Directory.View().Upstreams(s) {
+		if f.engine.Health.Failing(u, now) < refusingPart {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/leverengine/attempt.go
+++ b/internal/leverengine/attempt.go
@@ -17,7 +17,7 @@
 	part     int
 	upstream *leverdirectory.Upstream
 	started  time.Time
-	exchange *leverpool.Exchange
+	exchange Exchange
 
 	kind  leverhealth.Result
 	reply *leverpool.Reply
@@ -37,7 +37,11 @@
 // arrived reports whether the request may have reached the upstream and cost
 // it something.
 func (a *attempt) arrived() bool {
-	return a.kind != leverhealth.Refused && a.kind != leverhealth.Withdrawn && a.kind != leverhealth.Absent
+	switch a.kind {
+	case leverhealth.Refused, leverhealth.Withdrawn, leverhealth.Absent:
+		return false
+	}
+	return !errors.Is(a.err, leverpool.ErrNoRoom)
 }
 
 // send sends the call.
@@ -48,8 +52,11 @@
 	if f.call == nil {
 		f.call = leverpool.NewCall(f.req.Method, f.req.URI, f.req.Host, f.req.Header, f.req.Body)
 	}
-	t := leverpool.Target{Upstream: a.upstream, Once: !f.route.Repeatable, MaxConnections: e.connections(a.upstream.Service)}
-	a.exchange = e.Pool.Send(t, f.call, a.stamp, a.accept, a.done)
+	t := leverpool.Target{
+		Upstream: a.upstream, Once: !f.route.Repeatable, MaxConnections: e.connections(a.upstream.Service),
+		Request: f.req.ID, Rank: f.route.Rank, Floors: f.route.Floors, Due: f.deadline,
+	}
+	a.exchange = e.sender().Send(t, f.call, a.stamp, a.accept, a.done)
 }
 
 // stamp returns the headers of the call as it is sent.
@@ -81,7 +88,7 @@
 		f.noteBelief(a, b)
 	}
 	if a.kind == leverhealth.Good || a.kind == leverhealth.GivenUp {
-		f.room.Observe(f.work/float64(len(f.parts)), now.Sub(a.started) > time.Duration(slowCall*float64(f.route.Objective)), now)
+		f.room.Observe(a.part, len(f.parts), f.work, now.Sub(a.started) > time.Duration(slowCall*float64(f.route.Objective)), now)
 	}
 	f.results <- a
 }
@@ -89,6 +96,8 @@
 // judge says what the end of the call tells about the upstream.
 func (a *attempt) judge() leverhealth.Result {
 	switch {
+	case errors.Is(a.err, leverpool.ErrNoRoom):
+		return leverhealth.Shed
 	case errors.Is(a.err, leverpool.ErrNotSent):
 		return leverhealth.Refused
 	case errors.Is(a.err, leverpool.ErrWithdrawn):
--- a/internal/leverengine/bench_test.go
+++ b/internal/leverengine/bench_test.go
@@ -31,8 +31,14 @@
 	return leverengine.Mark{Request: leverid.RequestID(h.Get("X-Request-Id")), Signature: h.Get("Signature")}
 }
 
-// BenchmarkFanout measures a fan-out over 90 shards of 3 upstreams.
+// BenchmarkFanout measures fan-outs over shards of 3 upstreams.
 func BenchmarkFanout(b *testing.B) {
+	for _, shards := range []int{10, 90, 1200} {
+		b.Run(fmt.Sprint(shards), func(b *testing.B) { benchFanout(b, shards) })
+	}
+}
+
+func benchFanout(b *testing.B, shards int) {
 	records := strings.Repeat("0123456789abcdef", 25)
 	e := &levertest.Echo{Answer: []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nSignature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nX-Request-Id: 1\r\nContent-Length: %d\r\n\r\n%s", len(records), records))}
 	ln, err := e.Start()
@@ -46,7 +52,7 @@
 	}
 	var list []leverdirectory.Upstream
 	services := make(map[leverid.ServiceID]leverdirectory.Service)
-	for i := range 90 {
+	for i := range shards {
 		s := leverid.ServiceID(fmt.Sprintf("s%d", i))
 		route.Shards = append(route.Shards, s)
 		services[s] = leverdirectory.Service{MaxConnections: 50}
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -27,8 +27,10 @@
 	Health    *leverhealth.Table
 	Budget    *leverbudget.Budget
 	Pool      *leverpool.Pool
-	Protocol  Protocol
-	Crashes   *levercrash.Guard
+	// Sender replaces the pool, if it is set, where calls are sent.
+	Sender   Sender
+	Protocol Protocol
+	Crashes  *levercrash.Guard
 	// OnCrash, if set, is told of contents whose level has changed.
 	OnCrash func([]levercrash.Entry)
 	// Metrics may be nil.
@@ -37,6 +39,9 @@
 	Events *leverevent.Line
 	// MostInFlight bounds the requests that are run at a time, 0 for no bound.
 	MostInFlight int
+	// MostConnections bounds the connections of this VM to one upstream, 0 for
+	// no bound beside that of the service.
+	MostConnections int
 	// Shares returns this VM's part of the upstreams' connections, of services
 	// that are shards of fan-outs and of others.
 	Shares func() (fanout, other float64)
@@ -151,6 +156,9 @@
 		share = fanout
 	}
 	n := float64(c.Services[s].MaxConnections) * connectionPart * share
+	if e.MostConnections > 0 {
+		n = min(n, float64(e.MostConnections))
+	}
 	return max(int(n), firstConnections)
 }
 
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -145,7 +145,7 @@
 	for i, s := range services {
 		f.parts[i].service = s
 	}
-	f.room = e.rooms.of(cmp.Or(route.Room, services[0]))
+	f.room = e.rooms.of(cmp.Or(route.Room, services[0]), route.Floors)
 	f.results = make(chan *attempt, len(services)*f.mostSends())
 	e.Protocol.Strip(req.Header)
 	wait := route.Timeout
@@ -326,6 +326,10 @@
 		f.absent = append(f.absent, r.mark.Absent)
 	case leverhealth.Reset:
 		p.resets++
+	case leverhealth.Shed:
+		if f.allRefuse(p.service) {
+			f.room.Refuse(f.engine.Timer.Now())
+		}
 	}
 	if r.kind == leverhealth.Good && f.counts(r) {
 		if !p.done {
--- a/internal/leverentry/entry_test.go
+++ b/internal/leverentry/entry_test.go
@@ -127,14 +127,14 @@
 func TestPatchVerdicts(t *testing.T) {
 	withNode(t, func(is *is.I, do func(method, path, key, body string) *httptest.ResponseRecorder) {
 		patch := func(body string) int { return do("POST", "/v1/operator/config", operatorKey, body).Code }
-		is.Equal(patch(`{"id": "a", "base": 0, "merge": {"defaults": {"hedge": "none"}}}`), http.StatusOK)
-		is.Equal(patch(`{"id": "a", "base": 0, "merge": {"defaults": {"hedge": "none"}}}`), http.StatusOK) // again
+		is.Equal(patch(`{"id": "a", "base": 0, "merge": {"defaults": {"on-short": "answer"}}}`), http.StatusOK)
+		is.Equal(patch(`{"id": "a", "base": 0, "merge": {"defaults": {"on-short": "answer"}}}`), http.StatusOK) // again
 		is.Equal(patch(`{"id": "b", "base": 0, "merge": {}}`), http.StatusConflict)
-		is.Equal(patch(`{"id": "b", "base": 1, "merge": {"defaults": {"hedge": "soon"}}}`), http.StatusUnprocessableEntity)
+		is.Equal(patch(`{"id": "b", "base": 1, "merge": {"defaults": {"on-short": "soon"}}}`), http.StatusUnprocessableEntity)
 		is.Equal(patch(`{"id": "b", "base": 1, "merge": 3, "x": 1}`), http.StatusBadRequest)
 		is.Equal(do("GET", "/v1/operator/config/patches/a", operatorKey, "").Code, http.StatusOK)
 		is.Equal(do("GET", "/v1/operator/config/patches/b", operatorKey, "").Code, http.StatusNotFound)
-		is.Equal(do("POST", "/v1/operator/config/check", operatorKey, `{"id": "c", "merge": {"defaults": {"retry-part": 9}}}`).Code,
+		is.Equal(do("POST", "/v1/operator/config/check", operatorKey, `{"id": "c", "merge": {"defaults": {"least-coverage": 9}}}`).Code,
 			http.StatusUnprocessableEntity)
 	})
 }
--- a/internal/leverfeed/follower.go
+++ b/internal/leverfeed/follower.go
@@ -77,9 +77,9 @@
 	// Wait bounds how long one watch is held by the store, and Grace how much
 	// longer it may take.
 	Wait, Grace time.Duration
-	// MaxPause bounds the pause between failed calls, if it is not 0. The end of
-	// an outage is seen that much late, and Hold counts from there.
-	MaxPause time.Duration
+	// MaxPause, if set, returns the bound of the pause between failed calls. The
+	// end of an outage is seen that much late, and Hold counts from there.
+	MaxPause func() time.Duration
 	// Base, if set, returns what is known of the collection, perhaps from
 	// elsewhere, before it is listed anew.
 	Base func() map[string]T
@@ -324,7 +324,11 @@
 
 func (f *Follower[T]) failed(ctx context.Context, err error) {
 	first := f.setLost()
-	f.pause = min(max(2*f.pause, firstPause), cmp.Or(f.MaxPause, longestPause))
+	most := longestPause
+	if f.MaxPause != nil {
+		most = f.MaxPause()
+	}
+	f.pause = min(max(2*f.pause, firstPause), most)
 	if first {
 		f.Log.Warn("the store is lost", "collection", f.Name, "revision", f.revision, "err", err)
 		if f.OnFailed != nil {
--- a/internal/leverfeed/follower_test.go
+++ b/internal/leverfeed/follower_test.go
@@ -228,7 +228,7 @@
 // it was, is dropped within the hold and one pause.
 func TestGoneSoonAfterOutage(t *testing.T) {
 	const pause = 350 * time.Millisecond
-	set := func(_ *source, f *leverfeed.Follower[int]) { f.MaxPause = pause }
+	set := func(_ *source, f *leverfeed.Follower[int]) { f.MaxPause = func() time.Duration { return pause } }
 	for _, outage := range []time.Duration{time.Second, 5 * time.Second, 9 * time.Second} {
 		follow(t, set, func(is *is.I, s *source, f *leverfeed.Follower[int], got *state) {
 			s.fail(errors.New("down"))
--- a/internal/leverhealth/table.go
+++ b/internal/leverhealth/table.go
@@ -66,10 +66,11 @@
 	// unusually slow.
 	leastDelay     = 8 * time.Millisecond
 	mostDeviations = 3.0
-	// baseFall and baseRise are the weights of one more observation below and
-	// above the base.
+	// baseFall is the weight of one more observation below the base. One above it
+	// raises the base by baseRise of itself at the most: a flood must not make the
+	// work look greater while it lasts.
 	baseFall = 0.1
-	baseRise = 0.002
+	baseRise = 0.0002
 	// firstMean stands for a class without observations.
 	firstMean = 20 * time.Millisecond
 )
@@ -246,11 +247,11 @@
 	w := max(classGain, 1/float64(g.n+1))
 	g.deviation += w * (math.Abs(clipped-g.mean) - g.deviation)
 	g.mean += w * (clipped - g.mean)
-	gain := baseRise
 	if clipped < g.base {
-		gain = baseFall
+		g.base += baseFall * (clipped - g.base)
+	} else {
+		g.base += baseRise * min(clipped-g.base, g.base)
 	}
-	g.base += gain * (clipped - g.base)
 	a := s.slow[c]
 	if a == nil {
 		a = &average{base: 1}
@@ -305,6 +306,14 @@
 	return d
 }
 
+// Failing returns the part of the calls of an upstream that lately failed or were
+// refused.
+func (t *Table) Failing(u *leverdirectory.Upstream, now time.Time) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state(u, now).failing.get(now)
+}
+
 // Usable reports whether an expected time carries no penalty for an upstream
 // that stands still or can't be reached.
 func Usable(d time.Duration) bool { return d < stalledPenalty }
--- a/internal/leverid/id.go
+++ b/internal/leverid/id.go
@@ -28,9 +28,6 @@
 // RequestID is chosen by the caller and kept over its resends.
 type RequestID string
 
-// AttemptID numbers one attempt at one shard. The upstream echoes it.
-type AttemptID uint64
-
 // IndexVersion numbers one snapshot of a service's index.
 type IndexVersion uint64
 
@@ -43,8 +40,8 @@
 // ObjectKey is the path of an object in the platform's store.
 type ObjectKey string
 
-// String returns the id in decimal.
-func (a AttemptID) String() string { return strconv.FormatUint(uint64(a), 10) }
+// String returns the version in decimal.
+func (v IndexVersion) String() string { return strconv.FormatUint(uint64(v), 10) }
 
 // String returns the fingerprint as sixteen hexadecimal digits.
 func (f Fingerprint) String() string {
--- a/internal/leverkernel/answer_test.go
+++ b/internal/leverkernel/answer_test.go
@@ -49,6 +49,7 @@
 func TestDeadlineTooNear(t *testing.T) {
 	inSystem(t, func(is *is.I, s *levertest.System) {
 		s.Run(load(certificate, "q", 12))
+		time.Sleep(time.Second) // what is under way ends
 		runs := len(s.History.Runs())
 		for _, n := range s.Nodes() {
 			x := s.Send(n, levertest.Ask{
--- a/internal/leverkernel/claim.go
+++ b/internal/leverkernel/claim.go
@@ -5,8 +5,9 @@
 	"fmt"
 
 	"arbutuslever.dev/lever/internal/leverclaim"
+	"arbutuslever.dev/lever/internal/leverid"
+	"arbutuslever.dev/lever/internal/levermsg"
 	"arbutuslever.dev/lever/internal/leverpeer"
-	"arbutuslever.dev/lever/internal/leverroute"
 	"arbutuslever.dev/lever/internal/leverstore"
 
 	"github.com/juju/errors"
@@ -66,13 +67,12 @@
 func (c *claims) send(ctx context.Context, kind leverpeer.Kind, m claimMessage, local ledgerCall) error {
 	n := c.node
 	key := fmt.Sprintf("claim-range-%d", leverclaim.RangeOf(m.ID))
-	home := leverroute.Owner(key, n.members.Live(n.timer.Now()))
-	vm, ok := n.members.Find(home)
-	if !ok || home == n.opts.Self.ID {
+	vm, ok := owner(key, n.Members().Live(n.Timer().Now()))
+	if !ok || vm.ID == n.opts.Self.ID {
 		return local(ctx, m.ID, m.Nonce)
 	}
 	var r claimReply
-	err := n.peers.Ask(ctx, vm, kind, m, &r)
+	err := n.node.Peers().Ask(ctx, vm, kind, m, &r)
 	switch {
 	case err == nil:
 		return r.err()
@@ -80,6 +80,19 @@
 		return errors.Annotate(leverclaim.ErrUnsettled, err.Error())
 	}
 	// The nonce makes the second call safe if the first took effect.
-	n.counters.Add("claim-home-lost", 1)
+	n.Counters().Add("claim-home-lost", 1)
 	return local(ctx, m.ID, m.Nonce)
 }
+
+// owner returns the VM that has the highest hash with a key, so that the loss of
+// one VM moves only its own keys.
+func owner(key string, vms []levermsg.VM) (levermsg.VM, bool) {
+	var best levermsg.VM
+	var most uint64
+	for _, vm := range vms {
+		if h := leverid.Hash(key, string(vm.ID)); best.ID == "" || h > most {
+			best, most = vm, h
+		}
+	}
+	return best, best.ID != ""
+}
--- a/internal/leverkernel/config_test.go
+++ b/internal/leverkernel/config_test.go
@@ -27,6 +27,7 @@
 // inSystem runs a test in virtual time on a small system with 7 VMs.
 func inSystem(t *testing.T, body func(is *is.I, s *levertest.System)) {
 	t.Helper()
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		s := levertest.NewSystem(levertest.Options{
 			Deployment: levermodel.TwNorth().Scaled(1), VMs: 7, Seed: 1,
--- a/internal/leverkernel/node.go
+++ b/internal/leverkernel/node.go
@@ -1,27 +1,30 @@
-// Package leverkernel wires the parts of one entry VM together: the policies
-// that the configuration names, the peers, the store and the upstreams.
+// Package leverkernel assembles one VM of the product's own face: a node, which
+// runs requests and follows the store, and what turns queries and patches into
+// requests and objects.
 package leverkernel
 
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
+	"arbutuslever.dev/lever/internal/leverbudget"
+	"arbutuslever.dev/lever/internal/levercatalog"
 	"arbutuslever.dev/lever/internal/leverclaim"
 	"arbutuslever.dev/lever/internal/leverconfig"
+	"arbutuslever.dev/lever/internal/leverdirectory"
 	"arbutuslever.dev/lever/internal/leverevent"
-	"arbutuslever.dev/lever/internal/leverhome"
+	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leverlog"
 	"arbutuslever.dev/lever/internal/levermember"
 	"arbutuslever.dev/lever/internal/levermsg"
+	"arbutuslever.dev/lever/internal/levernode"
 	"arbutuslever.dev/lever/internal/leverpeer"
 	"arbutuslever.dev/lever/internal/leverquery"
-	"arbutuslever.dev/lever/internal/leverroute"
 	"arbutuslever.dev/lever/internal/leversnapshot"
-	"arbutuslever.dev/lever/internal/leverspread"
 	"arbutuslever.dev/lever/internal/leverstore"
 	"arbutuslever.dev/lever/internal/levertimer"
 	"arbutuslever.dev/lever/internal/leverupstream"
@@ -35,49 +38,35 @@
 	Seeds    []levermsg.VM
 	PeerKeys *leverpeer.Keys
 	Store    leverstore.Store
-	Upstream leverupstream.Client
 	Log      leverlog.Logger
 	// TLS is for connections to peers; nil for plain TCP.
 	TLS *tls.Config
+	// MostConnections bounds the connections to one upstream, 0 for no bound
+	// beside that of its service.
+	MostConnections int
 	// Dial replaces the TCP dialer in tests.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// Seed makes random choices repeatable.
-	Seed uint64
 }
 
 // Node is one entry VM. Use New.
 type Node struct {
-	opts     Options
-	log      leverlog.Logger
-	timer    *levertimer.Service
-	events   *leverevent.Line
-	counters *leverevent.Counters
+	opts Options
+	log  leverlog.Logger
+	node *levernode.Node
 
-	members   *levermember.View
 	directory *leversnapshot.Directory
-	board     *leverspread.Board
-	spreader  *leverspread.Spreader
 	store     *leverstore.Limited
 	// claimStore is the store at the rate that claims may take.
 	claimStore *leverstore.Limited
 	submitter  *leverconfig.Submitter
 	ledger     *leverclaim.Ledger
-	home       *leverhome.Home
 	engine     *leverquery.Engine
-	peers      *leverpeer.Client
-	server     *leverpeer.Server
-	crashes    *crashes
 
-	force    atomic.Pointer[inForce]
+	contents atomic.Pointer[levercatalog.Contents]
 	started  time.Time
 	leaving  atomic.Bool
-	caughtUp atomic.Bool
-	booted   atomic.Bool
-	contact  atomic.Int64 // Unix nanoseconds of the last word of a peer or the store
 	wasReady atomic.Bool
-
-	mu     sync.Mutex
-	cancel context.CancelFunc
+	cancel   context.CancelFunc
 }
 
 // claimTimeout bounds the settling of one batch of claims.
@@ -85,69 +74,75 @@
 
 // New returns a node that is not running yet.
 func New(o Options) *Node {
-	n := &Node{
-		opts: o, log: o.Log,
-		timer:    &levertimer.Service{},
-		events:   &leverevent.Line{VM: o.Self.ID},
-		counters: &leverevent.Counters{},
-		members:  levermember.NewView(o.Self),
-		board:    &leverspread.Board{},
+	n := &Node{opts: o, log: o.Log.For("kernel"), directory: &leversnapshot.Directory{}}
+	n.contents.Store(levercatalog.Empty())
+	sys := n.Document().System
+	n.store = leverstore.NewLimited(o.Store, sys.StoreRate)
+	n.claimStore = leverstore.NewLimited(o.Store, sys.ClaimRate)
+	n.node = levernode.New(levernode.Options{
+		Self: o.Self, Seeds: o.Seeds, PeerKeys: o.PeerKeys, TLS: o.TLS, Dial: o.Dial, Log: o.Log,
+		Store:    &levercatalog.Store{Objects: n.store, Log: o.Log.For("catalog"), Present: n.present},
+		Protocol: leverupstream.Protocol{}, Terms: terms(&sys), Requests: &handler{node: n}, OnConfig: n.install,
+		MostConnections: o.MostConnections,
+		Homes:           func() bool { return n.Document().System.Routing == leverconfig.Homes },
+	})
+	n.submitter = &leverconfig.Submitter{Store: n.store, Timer: n.Timer(), Events: n.Events(), Seen: n.ConfigVersion}
+	n.ledger = &leverclaim.Ledger{
+		Store: n.claimStore, Timer: n.Timer(), Counters: n.Counters(), Timeout: claimTimeout,
+		Keep: func() time.Duration { return seconds(n.Document().System.ClaimKeepS) },
 	}
-	if o.Seed != 0 {
-		n.timer.Seed(o.Seed)
+	n.engine = &leverquery.Engine{
+		Timer: n.Timer(), Counters: n.Counters(), Events: n.Events(), Log: o.Log.For("query"),
+		Directory: n.directory, Runner: n.node.Engine(), Claims: &claims{node: n},
+		RunUnclaimed: func(s leverid.ServiceID) bool {
+			set := n.Document().Service(s)
+			return set.RunUnclaimed == "yes"
+		},
 	}
-	n.directory = &leversnapshot.Directory{}
-	n.force.Store(firstForce(o.Self.ID))
-	n.store = leverstore.NewLimited(o.Store, n.force.Load().doc.System.StoreRate)
-	n.claimStore = leverstore.NewLimited(o.Store, n.claimRate())
-	n.crashes = newCrashes(n)
-	n.wirePeers()
-	n.wireSpread()
-	n.wireQueries()
 	return n
 }
 
-func (n *Node) wirePeers() {
-	o := n.opts
-	hooks := &hooks{node: n}
-	n.peers = &leverpeer.Client{
-		Self: o.Self, Keys: o.PeerKeys, Hooks: hooks, Timer: n.timer, Counters: n.counters, TLS: o.TLS, Dial: o.Dial,
-	}
-	n.server = &leverpeer.Server{
-		Self: o.Self, Keys: o.PeerKeys, Hooks: hooks, Timer: n.timer,
-		Handler: &handler{node: n}, Counters: n.counters,
-	}
+func terms(s *leverconfig.System) leverbudget.Terms {
+	return leverbudget.Terms{Ratio: s.ExtraPart, Slack: s.ExtraSlack, Window: seconds(s.ExtraWindowS)}
 }
 
-func (n *Node) wireSpread() {
-	n.spreader = &leverspread.Spreader{
-		Self: n.opts.Self.ID, Board: n.board, Peers: &exchanger{node: n}, Members: n.members,
-		Store: n.store, Timer: n.timer, Counters: n.counters,
-		News: n.news, StoreUp: n.storeUp,
-		Watchers: func() int { return int(n.force.Load().doc.System.Watchers) },
-		Backstop: func() time.Duration { return seconds(n.force.Load().doc.System.BackstopS) },
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func (n *Node) present() *leverdirectory.Config { return n.node.Engine().Directory.View().Config }
+
+// install takes in a configuration that has come into force.
+func (n *Node) install(c *leverdirectory.Config) {
+	next, err := levercatalog.Open(c)
+	if err != nil {
+		n.log.Error("a configuration's objects can't be read; the settings before stay", "version", c.Version, "err", err)
+		return
 	}
-	n.submitter = &leverconfig.Submitter{
-		Store: n.store, Timer: n.timer, Events: n.events, Seen: n.ConfigVersion,
+	old := n.contents.Swap(next)
+	n.installIndexes(old, next)
+	if next.Stored.Version == old.Stored.Version {
+		return
 	}
+	sys := next.Document.System
+	n.store.SetRate(sys.StoreRate)
+	n.claimStore.SetRate(n.claimRate())
+	n.node.SetTerms(terms(&sys))
+	n.Events().Add(leverevent.ConfigInForce, fmt.Sprint(next.Stored.Version), "")
+	n.log.Info("a version is in force", "version", next.Stored.Version)
 }
 
-func (n *Node) wireQueries() {
-	catalog := &catalog{node: n}
-	n.home = &leverhome.Home{
-		Timer: n.timer, Counters: n.counters, Client: n.opts.Upstream, Directory: catalog, Crashes: n.crashes,
+func (n *Node) installIndexes(old, next *levercatalog.Contents) {
+	there := make(map[leverid.ServiceID]bool)
+	for _, x := range next.Indexes {
+		there[x.Service] = true
+		before, err := n.directory.Index(x.Service)
+		if n.directory.Set(x) && (err != nil || before.Newest().Version != x.Newest().Version) {
+			n.Events().Add(leverevent.IndexInForce, string(x.Service), x.Newest().Version.String())
+		}
 	}
-	n.ledger = &leverclaim.Ledger{
-		Store: n.claimStore, Timer: n.timer, Counters: n.counters,
-		Keep:    func() time.Duration { return seconds(n.force.Load().doc.System.ClaimKeepS) },
-		Timeout: claimTimeout,
-	}
-	n.engine = &leverquery.Engine{
-		Self: n.opts.Self.ID, Timer: n.timer, Counters: n.counters, Events: n.events,
-		Directory: n.directory, Settings: catalog,
-		Replicas: leverroute.NewReplicas(n.opts.Self.Domain, n.opts.Seed),
-		Router:   catalog, Members: n.members, Dispatcher: &dispatcher{node: n},
-		Claims: &claims{node: n}, Crashes: n.crashes,
+	for _, x := range old.Indexes {
+		if !there[x.Service] && n.directory.Remove(x.Service) {
+			n.Events().Add(leverevent.IndexRemoved, string(x.Service), "")
+		}
 	}
 }
 
@@ -157,50 +152,58 @@
 
 // claimRate is this VM's part of the rate at which the fleet may write claims.
 func (n *Node) claimRate() float64 {
-	vms := max(len(n.members.Live(n.timer.Now())), 1)
-	return max(n.force.Load().doc.System.ClaimRate/float64(vms), leastClaimRate)
+	vms := max(len(n.Members().Live(n.Timer().Now())), 1)
+	return max(n.Document().System.ClaimRate/float64(vms), leastClaimRate)
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// ConfigVersion returns the version in force.
+func (n *Node) ConfigVersion() leverid.ConfigVersion { return n.Config().Version }
+
+// Config returns the configuration in force.
+func (n *Node) Config() *leverconfig.Stored { return n.contents.Load().Stored }
+
+// Document returns the checked document in force.
+func (n *Node) Document() *leverconfig.Document { return n.contents.Load().Document }
+
+const (
+	// inForceWait bounds how long an accepted patch is waited for here, and
+	// inForceLook is how often it is looked for.
+	inForceWait = time.Second
+	inForceLook = 5 * time.Millisecond
+)
+
+// Submit brings a patch into the store. The VM that watches the store puts it in
+// force; Submit waits a short time until it is in force here.
+func (n *Node) Submit(ctx context.Context, p *leverconfig.Patch) leverconfig.Outcome {
+	out := n.submitter.Submit(ctx, p)
+	ctx, cancel := context.WithTimeout(ctx, inForceWait)
+	defer cancel()
+	for out.Verdict == leverconfig.Accepted && n.ConfigVersion() < out.Version {
+		if !n.Timer().Sleep(ctx, inForceLook) {
+			break
+		}
+	}
+	return out
+}
 
 // Engine returns the part that runs queries.
 func (n *Node) Engine() *leverquery.Engine { return n.engine }
 
 // Events returns the time line.
-func (n *Node) Events() *leverevent.Line { return n.events }
+func (n *Node) Events() *leverevent.Line { return n.node.Events() }
 
 // Counters returns the metrics.
-func (n *Node) Counters() *leverevent.Counters { return n.counters }
+func (n *Node) Counters() *leverevent.Counters { return n.node.Counters() }
 
 // Timer returns the timer service.
-func (n *Node) Timer() *levertimer.Service { return n.timer }
+func (n *Node) Timer() *levertimer.Service { return n.node.Timer() }
 
 // Members returns the view of the other VMs.
-func (n *Node) Members() *levermember.View { return n.members }
+func (n *Node) Members() *levermember.View { return n.node.Members() }
 
 // Self returns the VM's own entry.
 func (n *Node) Self() levermsg.VM { return n.opts.Self }
 
-// Server returns the part that serves peers; the program gives it its
-// connections.
-func (n *Node) Server() *leverpeer.Server { return n.server }
-
-// Start fetches the configuration and begins to follow it. It returns at once;
-// Ready tells when the node can take requests.
-func (n *Node) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	n.mu.Lock()
-	n.cancel = cancel
-	n.mu.Unlock()
-	n.started = n.timer.Now()
-	n.events.Add(leverevent.Started, string(n.opts.Self.ID), string(n.opts.Self.Domain))
-	b := &boot{node: n}
-	go b.run(ctx)
-	w := &watchdog{node: n}
-	go w.run(ctx)
-	go n.crashes.run(ctx)
-}
-
 // PeerConnections returns the number of connections that this VM has opened to
 // others.
-func (n *Node) PeerConnections() int { return n.peers.Connections() }
+func (n *Node) PeerConnections() int { return n.node.Peers().Connections() }
--- a/internal/leverkernel/status.go
+++ b/internal/leverkernel/status.go
@@ -27,8 +27,6 @@
 	Leaving  bool                  `msgpack:"l"`
 	Services int                   `msgpack:"s"`
 	InFlight int                   `msgpack:"f"`
-	Waiting  int                   `msgpack:"w"`
-	Running  int                   `msgpack:"u"`
 	Uptime   time.Duration         `msgpack:"t"`
 	Counters map[string]int64      `msgpack:"m"`
 }
@@ -46,15 +44,14 @@
 
 // Status returns the VM's own state.
 func (n *Node) Status(counters bool) Status {
-	waiting, running := n.home.Busy()
 	s := Status{
 		VM: n.opts.Self.ID, Domain: n.opts.Self.Domain, Config: n.ConfigVersion(),
 		Ready: n.Ready(), Leaving: n.leaving.Load(), Services: n.directory.Services(),
-		InFlight: n.engine.InFlight(), Waiting: waiting, Running: running,
-		Uptime: n.timer.Now().Sub(n.started),
+		InFlight: n.engine.InFlight(),
+		Uptime:   n.Timer().Now().Sub(n.started),
 	}
 	if counters {
-		s.Counters = n.counters.Snapshot()
+		s.Counters = n.Counters().Snapshot()
 	}
 	return s
 }
@@ -75,8 +72,8 @@
 // known returns the VMs of the platform's list and those met besides, without
 // this one.
 func (n *Node) known() []levermsg.VM {
-	all := n.members.List()
-	for _, vm := range n.members.Live(n.timer.Now()) {
+	all := n.Members().List()
+	for _, vm := range n.Members().Live(n.Timer().Now()) {
 		if !slices.ContainsFunc(all, func(v levermsg.VM) bool { return v.ID == vm.ID }) {
 			all = append(all, vm)
 		}
@@ -134,7 +131,7 @@
 		m := statusMessage{VMs: rest, Counters: g.counters}
 		// The second step must answer before the first gives up.
 		sub, cancel := context.WithTimeout(ctx, statusTime/2)
-		err := g.node.peers.Ask(sub, first, leverpeer.KindStatus, &m, &r)
+		err := g.node.node.Peers().Ask(sub, first, leverpeer.KindStatus, &m, &r)
 		cancel()
 		if err != nil {
 			continue
--- a/internal/levermodel/data.go
+++ b/internal/levermodel/data.go
@@ -1,7 +1,7 @@
 // Package levermodel models the systems that are served: upstreams with slots,
 // connection limits, cold starts, stragglers, sheds, drains, index versions
-// and crashes. The stand-in program serves it over HTTP; trials in virtual time
-// call it directly.
+// and crashes. The stand-in program serves it over HTTP, tests over a network in
+// virtual time.
 package levermodel
 
 import (
@@ -50,7 +50,7 @@
 func ShardOf(n, shards int) leverid.ShardID { return leverid.ShardID(n % shards) }
 
 // page cuts records to what a request asked for.
-func page(rs []levermsg.Record, req *leverupstream.Request) []levermsg.Record {
+func page(rs []levermsg.Record, req *leverupstream.Call) []levermsg.Record {
 	for len(rs) > 0 && rs[0].Key <= req.After {
 		rs = rs[1:]
 	}
--- a/internal/levermodel/face.go
+++ b/internal/levermodel/face.go
@@ -4,28 +4,27 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
-	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leverupstream"
 )
 
-const maxRequest = 2 << 20
+// maxBehaviour bounds the body of a new behaviour in bytes.
+const maxBehaviour = 1 << 20
 
 // Face serves an Upstream by the protocol of docs/UPSTREAM.md. Under
 // /v1/stand-in/ it takes and shows the behaviour.
 type Face struct {
 	Upstream *Upstream
-	// Crashed is called when the process is to end, as a real one would.
+	// Crashed, if set, is called when the process is to end, as a real one would.
 	Crashed func()
 }
 
 // Handler returns the HTTP handler.
 func (f *Face) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/shards/{shard}/query", f.query)
+	mux.HandleFunc("POST "+leverupstream.Path, f.query)
 	mux.HandleFunc("GET /v1/health", f.health)
 	mux.HandleFunc("GET /v1/stand-in/behaviour", f.getBehaviour)
 	mux.HandleFunc("PUT /v1/stand-in/behaviour", f.setBehaviour)
@@ -42,36 +41,26 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-var statuses = map[leverupstream.Reason]int{
-	"":                           http.StatusOK,
-	leverupstream.ReasonShed:     http.StatusTooManyRequests,
-	leverupstream.ReasonDraining: http.StatusServiceUnavailable,
-	leverupstream.ReasonGone:     http.StatusGone,
-	leverupstream.ReasonNotYet:   http.StatusTooEarly,
-	leverupstream.ReasonExpired:  http.StatusGatewayTimeout,
-	leverupstream.ReasonFailed:   http.StatusInternalServerError,
-}
-
 func (f *Face) query(w http.ResponseWriter, r *http.Request) {
-	shard, err := strconv.Atoi(r.PathValue("shard"))
-	if err != nil || shard < 0 {
-		http.Error(w, "shard", http.StatusBadRequest)
+	call, err := leverupstream.ReadCall(w, r, time.Now())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	var req leverupstream.Request
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequest)).Decode(&req); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if call.Upstream != f.Upstream.ID() {
+		w.Header().Set(leverupstream.HeaderRequest, string(call.ID))
+		http.Error(w, "another upstream", http.StatusMisdirectedRequest)
 		return
 	}
 	crashes := f.Upstream.Crashes()
-	reply, end := f.Upstream.Do(r.Context(), leverid.ShardID(shard), &req)
+	reply, end := f.Upstream.Do(r.Context(), call)
 	if end != Replied {
-		if f.Upstream.Crashes() > crashes {
+		if f.Crashed != nil && f.Upstream.Crashes() > crashes {
 			f.Crashed()
 		}
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, statuses[reply.Reason], reply)
+	reply.Write(w, call, f.Upstream.ID())
 }
 
 func (f *Face) getBehaviour(w http.ResponseWriter, _ *http.Request) {
@@ -81,7 +70,7 @@
 // setBehaviour changes the members that the body names.
 func (f *Face) setBehaviour(w http.ResponseWriter, r *http.Request) {
 	b := f.Upstream.Behaviour()
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequest))
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBehaviour))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&b); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -99,8 +88,17 @@
 	// Cost is the time that opening one takes.
 	Cost time.Duration
 
-	mu   sync.Mutex
-	open int
+	mu         sync.Mutex
+	open, most int
+	refused    int
+}
+
+// Stats returns the most connections that were open at a time, and how many
+// were refused beyond the limit.
+func (l *Listener) Stats() (most, refused int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.most, l.refused
 }
 
 // Accept returns the next connection within the limit; others are closed.
@@ -122,9 +120,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.open >= l.Limit {
+		l.refused++
 		return false
 	}
 	l.open++
+	l.most = max(l.most, l.open)
 	return true
 }
 
--- a/internal/levermodel/upstream.go
+++ b/internal/levermodel/upstream.go
@@ -35,7 +35,7 @@
 	Partial bool `json:"partial"`
 	// Restart is how long the upstream is away after a crash.
 	Restart time.Duration `json:"restart-ns"`
-	// WrongEcho answers so many requests with another attempt's id.
+	// WrongEcho answers so many requests with another request's id.
 	WrongEcho int `json:"wrong-echo"`
 	// Oldest and Newest bound the index versions. Shards gives the number of
 	// shards of each version.
@@ -49,7 +49,6 @@
 	Upstream leverid.UpstreamID   `json:"upstream"`
 	Service  leverid.ServiceID    `json:"service"`
 	Request  leverid.RequestID    `json:"request"`
-	Attempt  leverid.AttemptID    `json:"attempt"`
 	Version  leverid.IndexVersion `json:"version"`
 	Rank     leverid.Rank         `json:"rank"`
 	Once     bool                 `json:"once"`
@@ -77,6 +76,9 @@
 	id   leverid.UpstreamID
 	seed uint64
 	log  func(Run)
+	// OnAway, if set before the first call, is told when the process is gone
+	// until a time.
+	OnAway func(until time.Time)
 
 	mu      sync.Mutex
 	b       Behaviour
@@ -99,6 +101,9 @@
 	}
 }
 
+// ID returns the process's id.
+func (u *Upstream) ID() leverid.UpstreamID { return u.id }
+
 // Set changes the behaviour.
 func (u *Upstream) Set(change func(*Behaviour)) {
 	u.mu.Lock()
@@ -130,25 +135,35 @@
 
 func (u *Upstream) crash() {
 	u.crashes++
+	u.end()
+	u.leave(u.b.Restart)
+}
+
+// end breaks all calls.
+func (u *Upstream) end() {
 	close(u.crashed)
 	u.crashed = make(chan struct{})
 	u.busy, u.waiting = 0, 0
-	u.away = time.Now().Add(u.b.Restart)
+}
+
+func (u *Upstream) leave(d time.Duration) {
+	u.away = time.Now().Add(d)
 	u.started = u.away
+	if u.OnAway != nil {
+		u.OnAway(u.away)
+	}
 }
 
 // Lose takes the process away for good, or for d.
 func (u *Upstream) Lose(d time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.crash()
-	u.crashes--
-	u.away = time.Now().Add(d)
-	u.started = u.away
+	u.end()
+	u.leave(d)
 }
 
-// Do handles one request for a shard.
-func (u *Upstream) Do(ctx context.Context, shard leverid.ShardID, req *leverupstream.Request) (leverupstream.Reply, End) {
+// Do handles one query.
+func (u *Upstream) Do(ctx context.Context, req *leverupstream.Call) (leverupstream.Reply, End) {
 	u.mu.Lock()
 	crashed := u.crashed
 	if time.Now().Before(u.away) {
@@ -164,22 +179,22 @@
 	if end := u.acquire(ctx, crashed); end != Replied {
 		return leverupstream.Reply{}, end
 	}
-	return u.work(ctx, crashed, shard, req)
+	return u.work(ctx, crashed, req)
 }
 
 // refuse returns the reply of a request that is not taken in.
-func (u *Upstream) refuse(req *leverupstream.Request) (leverupstream.Reply, bool) {
-	r := leverupstream.Reply{Attempt: req.Attempt, Oldest: u.b.Oldest, Newest: u.b.Newest}
+func (u *Upstream) refuse(req *leverupstream.Call) (leverupstream.Reply, bool) {
+	r := leverupstream.Reply{Request: req.ID, Versions: leverupstream.Versions{Oldest: u.b.Oldest, Newest: u.b.Newest}}
 	switch {
 	case u.b.Drain:
 		r.Reason = leverupstream.ReasonDraining
 	case u.b.Shed, u.b.Slots > 0 && u.busy+u.waiting >= u.b.Slots+u.b.Backlog:
 		r.Reason = leverupstream.ReasonShed
-	case time.Now().UnixMilli() > req.DeadlineMS:
+	case time.Now().After(req.Due):
 		r.Reason = leverupstream.ReasonExpired
-	case req.Version < u.b.Oldest:
+	case req.Shard.Version < u.b.Oldest:
 		r.Reason = leverupstream.ReasonGone
-	case req.Version > u.b.Newest:
+	case req.Shard.Version > u.b.Newest:
 		r.Reason = leverupstream.ReasonNotYet
 	}
 	return r, r.Reason != ""
@@ -236,14 +251,17 @@
 	u.wake()
 }
 
-func (u *Upstream) work(ctx context.Context, crashed chan struct{}, shard leverid.ShardID, req *leverupstream.Request) (leverupstream.Reply, End) {
+func (u *Upstream) work(ctx context.Context, crashed chan struct{}, req *leverupstream.Call) (leverupstream.Reply, End) {
 	defer u.release(crashed)
+	if time.Now().After(req.Due) {
+		return leverupstream.Reply{Request: req.ID, Reason: leverupstream.ReasonExpired}, Replied
+	}
 	var body Body
 	// A body that is not the model's costs the usual time.
 	_ = json.Unmarshal(req.Body, &body)
 	run := Run{
-		Upstream: u.id, Service: req.Service, Request: req.Request, Attempt: req.Attempt,
-		Version: req.Version, Rank: req.Rank, Once: !req.Repeatable, At: time.Now(),
+		Upstream: u.id, Service: req.Shard.Service, Request: req.ID,
+		Version: req.Shard.Version, Rank: req.Rank, Once: !req.Repeatable, At: time.Now(),
 	}
 	t := time.NewTimer(u.duration(&body))
 	defer t.Stop()
@@ -266,7 +284,7 @@
 		u.mu.Unlock()
 		return leverupstream.Reply{}, Broken
 	}
-	return u.reply(shard, req, &body), Replied
+	return u.reply(req, &body), Replied
 }
 
 func (u *Upstream) note(r Run) {
@@ -275,21 +293,21 @@
 	}
 }
 
-func (u *Upstream) reply(shard leverid.ShardID, req *leverupstream.Request, body *Body) leverupstream.Reply {
+func (u *Upstream) reply(req *leverupstream.Call, body *Body) leverupstream.Reply {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	r := leverupstream.Reply{
-		Attempt: req.Attempt, Version: req.Version, Run: leverid.MayHaveRun,
-		Oldest: u.b.Oldest, Newest: u.b.Newest,
+		Request: req.ID, Run: leverid.MayHaveRun,
+		Versions: leverupstream.Versions{Oldest: u.b.Oldest, Newest: u.b.Newest},
 	}
 	if u.b.WrongEcho > 0 {
 		u.b.WrongEcho--
-		r.Attempt++
+		r.Request += "-other"
 	}
 	if body.Record != "" {
 		return r
 	}
-	r.Records = page(records(req.Service, shard, u.b.Shards[req.Version], req.Version), req)
+	r.Records = page(records(req.Shard.Service, req.Shard.ID, u.b.Shards[req.Shard.Version], req.Shard.Version), req)
 	if u.b.Partial && len(r.Records) > 0 {
 		r.Partial = true
 		r.Records = r.Records[:len(r.Records)-1]
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -19,6 +19,7 @@
 	"arbutuslever.dev/lever/internal/leverevent"
 	"arbutuslever.dev/lever/internal/leverfeed"
 	"arbutuslever.dev/lever/internal/leverhealth"
+	"arbutuslever.dev/lever/internal/leverhome"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leverlog"
 	"arbutuslever.dev/lever/internal/levermember"
@@ -50,6 +51,14 @@
 	// entries: with the hold after it, what is gone for good is dropped within
 	// the 3 s in which an upstream that leaves must get nothing new.
 	upstreamsPause = 350 * time.Millisecond
+	// configsPause and vmsPause bound the same pauses for the other collections.
+	configsPause = time.Second
+	vmsPause     = 3 * time.Second
+	// orphanPause, and orphanSpread for each VM of the fleet, bound the pauses
+	// of a VM that is not one of those that watch for all: in an outage of the
+	// store it asks only to learn that it alone was cut off from the others.
+	orphanPause  = 2 * time.Second
+	orphanSpread = 40 * time.Millisecond
 	// registerPause is the pause before the VM's own entry is written again.
 	registerPause = time.Second
 	// relayQuiet and relayDead bound the silence of a parent in the relay: a
@@ -97,23 +106,31 @@
 	Metrics  *levermetric.Set
 	// MostInFlight bounds the requests that are run at a time, 0 for no bound.
 	MostInFlight int
+	// MostConnections bounds the connections to one upstream, 0 for no bound
+	// beside that of the service.
+	MostConnections int
+	// Homes, if set, reports whether the calls of each upstream go through one
+	// VM, its home.
+	Homes func() bool
 	// Dial replaces the TCP dialer, in tests.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Node is one VM's process. New makes one.
 type Node struct {
-	opts      Options
-	log       leverlog.Logger
-	timer     *levertimer.Service
-	events    *leverevent.Line
-	counters  *leverevent.Counters
-	members   *levermember.View
-	engine    *leverengine.Engine
-	budget    *leverbudget.Budget
-	board     *leverrelay.Board
-	relay     *leverrelay.Relay
-	delegate  *leverdelegate.Delegate
+	opts     Options
+	log      leverlog.Logger
+	timer    *levertimer.Service
+	events   *leverevent.Line
+	counters *leverevent.Counters
+	members  *levermember.View
+	engine   *leverengine.Engine
+	budget   *leverbudget.Budget
+	board    *leverrelay.Board
+	relay    *leverrelay.Relay
+	delegate *leverdelegate.Delegate
+	// homes is nil if calls never go through homes.
+	homes     *leverhome.Sender
 	relays    *leverpeer.Client
 	runs      *leverpeer.Client
 	server    *leverpeer.Server
@@ -145,12 +162,13 @@
 		Domain: o.Self.Domain, Timer: n.timer, Log: o.Log.For("engine"), Directory: directory,
 		Health: &leverhealth.Table{}, Budget: n.budget, Pool: &leverpool.Pool{Dial: o.Dial}, Protocol: o.Protocol,
 		Shares: n.shares, Current: n.board.Current, Crashes: &levercrash.Guard{}, OnCrash: n.tellCrashes, Metrics: o.Metrics,
-		MostInFlight: o.MostInFlight, Events: n.events,
+		MostInFlight: o.MostInFlight, MostConnections: o.MostConnections, Events: n.events,
 	}
-	directory.OnChange = n.engine.Changed
+	directory.OnChange = n.changed
 	n.peerParts()
 	n.feeds()
 	n.engine.Delegate = n.delegate
+	n.homeParts()
 	n.board.OnConfigs = n.takeConfigs
 	n.board.OnUpstreams = directory.SetUpstreams
 	n.board.OnVMs = n.takeVMs
@@ -178,19 +196,62 @@
 	n.server = &leverpeer.Server{Self: o.Self, Keys: keys, Hooks: h, Timer: n.timer, Handler: &dispatcher{node: n}, Counters: n.counters}
 }
 
+func (n *Node) homeParts() {
+	o := n.opts
+	if o.Homes == nil {
+		return
+	}
+	n.homes = &leverhome.Sender{
+		Self: o.Self.ID, Members: n.members, Peers: n.runs, Pool: n.engine.Pool, Protocol: o.Protocol,
+		Timer: n.timer, Log: o.Log.For("home"), Homes: o.Homes, Connections: n.homeConnections,
+	}
+	n.engine.Sender = n.homes
+}
+
+// homePart is the part of an upstream's connections that its home opens; the
+// rest is left to the home before it.
+const homePart = 0.5
+
+// homeConnections returns the connections to an upstream that its home may open.
+func (n *Node) homeConnections(s leverid.ServiceID) int {
+	c := n.engine.Directory.View().Config
+	if c == nil {
+		return 1
+	}
+	return max(int(homePart*float64(c.Services[s].MaxConnections)), 1)
+}
+
 func (n *Node) feeds() {
 	o := n.opts
 	log := o.Log.For("feed")
 	n.configs = &leverfeed.Follower[*leverdirectory.Config]{
 		Name: "configuration", Source: o.Store.Configs(), Timer: n.timer, Log: log, Pace: feedPace, Wait: configWait, Grace: configGrace,
-		OnLost: n.relist, OnFailed: n.doubt, Apply: n.board.SetConfigs,
+		MaxPause: func() time.Duration { return n.maxPause(configsPause) },
+		OnLost:   n.relist, OnFailed: n.doubt, Apply: n.board.SetConfigs,
 	}
 	n.upstreams = &leverfeed.Follower[leverdirectory.Upstream]{
-		Name: "upstreams", Source: o.Store.Upstreams(), Timer: n.timer, Log: log, Pace: feedPace, Hold: lapseHold, MaxPause: upstreamsPause, Base: n.board.Upstreams,
-		Apply: n.board.SetUpstreams,
+		Name: "upstreams", Source: o.Store.Upstreams(), Timer: n.timer, Log: log, Pace: feedPace, Hold: lapseHold, Base: n.board.Upstreams,
+		Apply: n.board.SetUpstreams, MaxPause: func() time.Duration { return n.maxPause(upstreamsPause) },
 	}
 	n.vms = &leverfeed.Follower[levermsg.VM]{
 		Name: "vms", Source: o.Store.VMs(), Timer: n.timer, Log: log, Pace: feedPace, Apply: n.board.SetVMs,
+		MaxPause: func() time.Duration { return n.maxPause(vmsPause) },
+	}
+}
+
+// maxPause returns the bound of the pauses between failed calls of the store.
+func (n *Node) maxPause(watcher time.Duration) time.Duration {
+	if n.relay.IsWatcher() {
+		return watcher
+	}
+	return max(orphanPause, time.Duration(len(n.members.List()))*orphanSpread)
+}
+
+// changed follows the directory.
+func (n *Node) changed(v *leverdirectory.View) {
+	n.engine.Changed(v)
+	if n.homes != nil {
+		n.homes.Retain(v.Known)
 	}
 }
 
@@ -302,6 +363,7 @@
 func (n *Node) Start(peers net.Listener) {
 	n.events.Add(leverevent.Started, string(n.opts.Self.ID), "")
 	n.heard.Store(n.timer.Now().UnixNano())
+	n.budget.Begin(n.timer.Now())
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.listener = peers
--- a/internal/levernode/peers.go
+++ b/internal/levernode/peers.go
@@ -58,6 +58,10 @@
 		return d.node.relay.Serve(r)
 	case leverpeer.KindRun:
 		return d.node.delegate.Serve(r)
+	case leverpeer.KindCall:
+		if d.node.homes != nil {
+			return d.node.homes.Serve(r)
+		}
 	case leverpeer.KindPing:
 		return r.Reply(nil, true)
 	case leverpeer.KindCrashes:
--- a/internal/leverops/ops.go
+++ b/internal/leverops/ops.go
@@ -180,7 +180,7 @@
 func vmStatus(s leverkernel.Status) leverapi.VMStatus {
 	return leverapi.VMStatus{
 		VM: string(s.VM), Domain: string(s.Domain), Config: uint64(s.Config), Ready: s.Ready, Leaving: s.Leaving,
-		Services: s.Services, InFlight: s.InFlight, Waiting: s.Waiting, Running: s.Running,
+		Services: s.Services, InFlight: s.InFlight,
 		UptimeMS: s.Uptime.Milliseconds(), Counters: s.Counters,
 	}
 }
--- a/internal/leverpeer/export_test.go
+++ /dev/null
@@ -1,4 +0,0 @@
-package leverpeer
-
-// EncodeForTest writes a message.
-var EncodeForTest = encode
--- a/internal/leverpeer/frame.go
+++ b/internal/leverpeer/frame.go
@@ -39,18 +39,14 @@
 
 // The kinds of request. A number is part of the protocol and is never reused.
 const (
-	KindBatch Kind = iota + 1
-	KindClaim
-	KindRelease
-	KindSpread
-	KindCrash
-	KindStatus
-	KindLeave
-	KindFollow
-	KindRun
-	KindPing
-	KindCrashes
-	KindEnd
+	KindClaim   Kind = 2
+	KindRelease Kind = 3
+	KindStatus  Kind = 6
+	KindFollow  Kind = 8
+	KindRun     Kind = 9
+	KindPing    Kind = 10
+	KindCrashes Kind = 11
+	KindCall    Kind = 12
 )
 
 // CallID numbers the calls of one connection.
--- a/internal/leverpeer/peer_test.go
+++ b/internal/leverpeer/peer_test.go
@@ -172,7 +172,7 @@
 }
 
 func FuzzReadFrame(f *testing.F) {
-	whole, err := leverpeer.AppendFrame(nil, &leverpeer.Frame{Op: 3, Kind: leverpeer.KindBatch, Call: 1, Body: []byte{0x80}})
+	whole, err := leverpeer.AppendFrame(nil, &leverpeer.Frame{Op: 3, Kind: leverpeer.KindRun, Call: 1, Body: []byte{0x80}})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -184,8 +184,8 @@
 		if err != nil {
 			return
 		}
-		var b levermsg.Batch
-		_ = leverpeer.Decode(frame.Body, &b)
+		var vm levermsg.VM
+		_ = leverpeer.Decode(frame.Body, &vm)
 		again, err := leverpeer.AppendFrame(nil, frame)
 		if err != nil {
 			t.Fatal(err)
@@ -195,20 +195,3 @@
 		}
 	})
 }
-
-func BenchmarkFrame(b *testing.B) {
-	for name, items := range map[string]int{"10": 10, "100": 100, "1200": 1200} {
-		b.Run(name, func(b *testing.B) {
-			batch := levermsg.Batch{Items: make([]levermsg.Item, items)}
-			for i := range batch.Items {
-				batch.Items[i] = levermsg.Item{Attempt: leverid.AttemptID(1 << 40), Upstream: "portal-01-s0-r0"}
-			}
-			b.ReportAllocs()
-			for b.Loop() {
-				if _, err := leverpeer.EncodeForTest(&batch); err != nil {
-					b.Fatal(err)
-				}
-			}
-		})
-	}
-}
--- a/internal/leverplug/registry.go
+++ b/internal/leverplug/registry.go
@@ -1,6 +1,5 @@
-// Package leverplug is the registry through which policies make themselves
-// known: a package registers its factories when it is imported, and the
-// configuration picks one by name.
+// Package leverplug is the registry through which plug-ins make themselves
+// known: each registers its factory, and one is picked by its name.
 package leverplug
 
 import (
@@ -10,7 +9,7 @@
 	"github.com/juju/errors"
 )
 
-// Registry maps names to factories of one kind of policy. The zero value is
+// Registry maps names to factories of one kind of plug-in. The zero value is
 // ready to use. It is safe for concurrent use.
 type Registry[F any] struct {
 	mu        sync.Mutex
@@ -38,7 +37,7 @@
 	defer r.mu.Unlock()
 	f, ok := r.factories[name]
 	if !ok {
-		return f, errors.NotFoundf("policy %q (have %v)", name, r.names())
+		return f, errors.NotFoundf("%q (have %v)", name, r.names())
 	}
 	return f, nil
 }
--- a/internal/leverpool/conn.go
+++ b/internal/leverpool/conn.go
@@ -154,7 +154,7 @@
 }
 
 func (c *conn) answer(x *Exchange) (*Reply, bool, error) {
-	w, err := c.head(x.call.method)
+	w, err := c.head(x.call.Method)
 	if err != nil {
 		return nil, false, failure(err)
 	}
--- a/internal/leverpool/exchange.go
+++ b/internal/leverpool/exchange.go
@@ -6,8 +6,11 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"arbutuslever.dev/lever/internal/leverdirectory"
+	"arbutuslever.dev/lever/internal/leverid"
+	"arbutuslever.dev/lever/internal/leverrank"
 
 	"github.com/juju/errors"
 )
@@ -19,13 +22,20 @@
 	MaxConnections int
 	// Once marks a request that must not run twice.
 	Once bool
+	// Request, Rank, Floors and Due say how a queue before the upstream treats
+	// the call.
+	Request leverid.RequestID
+	Rank    leverid.Rank
+	Floors  leverrank.Floors
+	Due     time.Time
 }
 
 // Call is a request as it goes to several upstreams. NewCall makes one.
 type Call struct {
-	method string
-	head   []byte
-	body   []byte
+	Method string `msgpack:"m"`
+	// Head is the encoded head without the headers of one attempt.
+	Head []byte `msgpack:"h"`
+	Body []byte `msgpack:"b"`
 }
 
 // NewCall encodes what all attempts of a request share. The URI is the path
@@ -38,21 +48,21 @@
 	if len(body) > 0 || method == http.MethodPost || method == http.MethodPut {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
 	}
-	return &Call{method: method, head: b.Bytes(), body: body}
+	return &Call{Method: method, Head: b.Bytes(), Body: body}
 }
 
 // encode returns the whole request with the headers of one attempt.
 func (c *Call) encode(extra http.Header) []byte {
 	var b bytes.Buffer
-	b.Grow(len(c.head) + extraSize + len(c.body))
-	b.Write(c.head)
+	b.Grow(len(c.Head) + extraSize + len(c.Body))
+	b.Write(c.Head)
 	for name, values := range extra {
 		for _, v := range values {
 			b.WriteString(name + ": " + v + "\r\n")
 		}
 	}
 	b.WriteString("\r\n")
-	b.Write(c.body)
+	b.Write(c.Body)
 	return b.Bytes()
 }
 
--- a/internal/leverpool/pool.go
+++ b/internal/leverpool/pool.go
@@ -21,6 +21,9 @@
 	// ErrWithdrawn is an ErrNotSent of a call that was given up: it tells
 	// nothing about the upstream.
 	ErrWithdrawn = errors.ConstError("call was withdrawn")
+	// ErrNoRoom means that a queue before the upstream refused the call, which
+	// has not run.
+	ErrNoRoom = errors.ConstError("no room at the upstream")
 	// ErrReset means that the connection ended after the request had been sent
 	// and before an answer began.
 	ErrReset = errors.ConstError("connection ended without an answer")
--- a/internal/leverquery/engine_test.go
+++ b/internal/leverquery/engine_test.go
@@ -3,207 +3,183 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverclaim"
-	"arbutuslever.dev/lever/internal/levercrash"
+	"arbutuslever.dev/lever/internal/leverengine"
 	"arbutuslever.dev/lever/internal/leverevent"
 	"arbutuslever.dev/lever/internal/leverid"
-	"arbutuslever.dev/lever/internal/levermsg"
+	"arbutuslever.dev/lever/internal/leverpool"
 	"arbutuslever.dev/lever/internal/leverquery"
-	"arbutuslever.dev/lever/internal/leverroute"
 	"arbutuslever.dev/lever/internal/leversnapshot"
+	"arbutuslever.dev/lever/internal/leverstore"
 	"arbutuslever.dev/lever/internal/levertimer"
 
 	"github.com/matryer/is"
 )
 
-// around is what an engine needs besides its dispatcher.
-type around struct{ settings leverquery.Settings }
-
-func (around) Live(time.Time) []levermsg.VM                                   { return []levermsg.VM{{ID: "vm"}} }
-func (a around) Service(leverid.ServiceID) leverquery.Settings                { return a.settings }
-func (around) Claim(context.Context, leverclaim.ID, leverclaim.Nonce) error   { return nil }
-func (around) Release(context.Context, leverclaim.ID, leverclaim.Nonce) error { return nil }
-func (around) Trial(leverid.Fingerprint) (levercrash.Level, leverid.UpstreamID) {
-	return levercrash.Clear, ""
-}
-func (around) Reset(levercrash.Reset) levercrash.Level   { return levercrash.Clear }
-func (around) Pass(leverid.Fingerprint)                  {}
-func (around) Good(leverid.Fingerprint, leverid.ShardID) {}
-func (around) Settle(context.Context)                    {}
-func (around) Home(leverid.ServiceID, leverid.UpstreamID, leverid.Domain, []levermsg.VM) leverid.VMID {
-	return "vm"
+// script answers the rounds of a query one after another and keeps what was
+// asked.
+type script struct {
+	outcomes []*leverengine.Outcome
+	asked    []*leverengine.Request
 }
 
-// sent is one batch that was dispatched.
-type sent struct {
-	batch     levermsg.Batch
-	sink      func(levermsg.Result)
-	withdrawn []leverid.AttemptID
+func (s *script) Run(_ context.Context, req *leverengine.Request) *leverengine.Outcome {
+	s.asked = append(s.asked, req)
+	out := s.outcomes[0]
+	s.outcomes = s.outcomes[1:]
+	return out
 }
 
-// Withdraw notes the attempts.
-func (s *sent) Withdraw(ids []leverid.AttemptID) { s.withdrawn = append(s.withdrawn, ids...) }
+// ledger is a claimer that counts.
+type ledger struct {
+	err               error
+	claimed, released int
+}
 
-// script keeps batches for the test to answer.
-type script struct{ batches chan *sent }
+func (l *ledger) Claim(context.Context, leverclaim.ID, leverclaim.Nonce) error {
+	l.claimed++
+	return l.err
+}
 
-func (s *script) Dispatch(_ context.Context, _ leverid.VMID, b *levermsg.Batch, sink func(levermsg.Result)) leverquery.Call {
-	one := &sent{batch: *b, sink: sink}
-	s.batches <- one
-	return one
+func (l *ledger) Release(context.Context, leverclaim.ID, leverclaim.Nonce) error {
+	l.released++
+	return nil
 }
 
-func engine(t *testing.T, set leverquery.Settings) (*leverquery.Engine, *script) {
+func engine(t *testing.T, s *script, l *ledger) *leverquery.Engine {
 	t.Helper()
 	x, err := leversnapshot.ParseIndex([]byte(`{"service": "s", "upstreams": [
-		{"id": "a0", "address": "a", "slots": 1, "connections": 1}, {"id": "a1", "address": "a", "slots": 1, "connections": 1},
-		{"id": "b0", "address": "a", "slots": 1, "connections": 1}, {"id": "b1", "address": "a", "slots": 1, "connections": 1}],
-		"maps": [{"version": 6, "shards": [{"replicas": ["a0", "a1"]}, {"replicas": ["b0", "b1"]}]},
-			{"version": 7, "shards": [{"replicas": ["a0", "a1"]}, {"replicas": ["b0", "b1"]}]}]}`))
+		{"id": "a0", "address": "a", "slots": 1, "connections": 1}, {"id": "b0", "address": "a", "slots": 1, "connections": 1}],
+		"maps": [{"version": 6, "shards": [{"replicas": ["a0"]}, {"replicas": ["b0"]}]},
+			{"version": 7, "shards": [{"replicas": ["a0"]}, {"replicas": ["b0"]}]}]}`))
 	if err != nil {
 		t.Fatal(err)
 	}
 	d := &leversnapshot.Directory{}
 	d.Set(x)
-	out := &script{batches: make(chan *sent, 16)}
-	w := around{settings: set}
 	return &leverquery.Engine{
-		Self: "vm", Timer: &levertimer.Service{}, Counters: &leverevent.Counters{}, Events: &leverevent.Line{},
-		Directory: d, Settings: w, Replicas: leverroute.NewReplicas("", 1), Router: w, Members: w, Dispatcher: out,
-		Claims: w, Crashes: w,
-	}, out
-}
-
-type ending struct {
-	answer *leverquery.Answer
-	err    error
-}
-
-// query runs a request in the background.
-func query(e *leverquery.Engine, once bool) chan ending {
-	done := make(chan ending, 1)
-	go func() {
-		r := &leverquery.Request{Service: "s", ID: "r", Deadline: time.Now().Add(time.Second), Once: once, Key: "k"}
-		a, err := e.Run(context.Background(), r)
-		done <- ending{a, err}
-	}()
-	return done
+		Timer: &levertimer.Service{}, Counters: &leverevent.Counters{}, Events: &leverevent.Line{},
+		Directory: d, Runner: s, Claims: l, RunUnclaimed: func(leverid.ServiceID) bool { return false },
+	}
 }
 
-func ok(it levermsg.Item, v leverid.IndexVersion, keys ...string) levermsg.Result {
-	r := levermsg.Result{Attempt: it.Attempt, Version: v, Run: leverid.MayHaveRun}
-	for _, k := range keys {
-		r.Records = append(r.Records, levermsg.Record{Key: k, Revision: uint64(v)})
-	}
-	return r
+func ask(e *leverquery.Engine, once bool) (*leverquery.Answer, *leverquery.Refusal) {
+	r := &leverquery.Request{Service: "s", ID: "r", Deadline: time.Now().Add(time.Second), Once: once, Key: "k"}
+	a, err := e.Run(context.Background(), r)
+	var refusal *leverquery.Refusal
+	errors.As(err, &refusal)
+	return a, refusal
 }
 
-// warm gives the hedger enough latencies to begin.
-func warm(e *leverquery.Engine, s *script) {
-	for range 40 {
-		done := query(e, false)
-		b := <-s.batches
-		for _, it := range b.batch.Items {
-			b.sink(ok(it, 7))
+func records(bodies ...string) *leverengine.Outcome {
+	out := &leverengine.Outcome{Verdict: leverengine.Merged, Ran: true, Attempts: len(bodies)}
+	for _, b := range bodies {
+		if b == "" {
+			out.Parts = append(out.Parts, nil)
+			out.Missing++
+			continue
 		}
-		<-done
+		out.Parts = append(out.Parts, []byte(b))
 	}
+	return out
 }
 
-// TestMergedRecordsAreKept gets a message of a home whose first result is of a
-// shard that a hedge has answered, and which carries the records of both.
-func TestMergedRecordsAreKept(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		e, s := engine(t, leverquery.Settings{Retry: "unbounded", Hedge: "quantile", HedgeQuantile: 0.9, LeastCoverage: 0.5})
-		warm(e, s)
-		done := query(e, false)
-		first, hedges := <-s.batches, <-s.batches
-		is.Equal(len(hedges.batch.Items), 2)
-		hedges.sink(ok(hedges.batch.Items[0], 7, "shard-0"))
-		synctest.Wait()
-		first.sink(ok(first.batch.Items[0], 7, "shard-0", "shard-1"))
-		first.sink(ok(first.batch.Items[1], 7))
-		end := <-done
-		is.NoErr(end.err)
-		is.Equal(len(end.answer.Records), 2)
-		is.Equal(end.answer.Coverage.Covered, 2)
-		is.Equal(len(hedges.withdrawn), 1) // the loser is withdrawn
-	})
+// TestCoverageIsTrue merges answers of which one is missing, one incomplete and
+// one not to be read.
+func TestCoverageIsTrue(t *testing.T) {
+	cases := map[string]struct {
+		first, second string
+		want          leverquery.Coverage
+		records       int
+	}{
+		"whole":       {`{"records": [{"key": "a", "revision": 1}]}`, `{"records": [{"key": "b", "revision": 1}]}`, leverquery.Coverage{Total: 2, Covered: 2}, 2},
+		"missing":     {`{"records": [{"key": "a", "revision": 1}]}`, ``, leverquery.Coverage{Total: 2, Covered: 1, Missing: []leverid.ShardID{1}}, 1},
+		"partial":     {`{"partial": true, "records": [{"key": "a", "revision": 1}]}`, `{}`, leverquery.Coverage{Total: 2, Covered: 1, Partial: []leverid.ShardID{0}}, 1},
+		"no JSON":     {`{"rec`, `{}`, leverquery.Coverage{Total: 2, Covered: 1, Missing: []leverid.ShardID{0}}, 0},
+		"one key two": {`{"records": [{"key": "a", "revision": 1}]}`, `{"records": [{"key": "a", "revision": 2}]}`, leverquery.Coverage{Total: 2, Covered: 2}, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a, _ := ask(engine(t, &script{outcomes: []*leverengine.Outcome{records(c.first, c.second)}}, nil), false)
+			is.Equal(a.Coverage, c.want)
+			is.Equal(len(a.Records), c.records)
+			is.Equal(a.Snapshot, leverid.IndexVersion(7))
+		})
+	}
 }
 
 // TestOneRestart lets the newest version be missing, then the next one too.
 func TestOneRestart(t *testing.T) {
+	is := is.New(t)
+	first := records(`{}`, ``)
+	first.Absent = []string{"5-6"}
+	second := records(`{"records": [{"key": "x", "revision": 6}]}`, ``)
+	second.Absent = []string{"8-9"}
+	s := &script{outcomes: []*leverengine.Outcome{first, second}}
+	a, _ := ask(engine(t, s, nil), false)
+	is.Equal(len(s.asked), 2) // no second restart
+	is.True(s.asked[0].Path != s.asked[1].Path)
+	is.True(a.Restarted)
+	is.Equal(a.Snapshot, leverid.IndexVersion(6))
+	is.Equal(a.Coverage.Missing, []leverid.ShardID{1})
+}
+
+// TestTrialIsWaitedFor runs a query again while another one with its content is
+// on trial.
+func TestTrialIsWaitedFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		e, s := engine(t, leverquery.Settings{Retry: "unbounded", LeastCoverage: 0.5})
-		done := query(e, false)
-		stale := func(b *sent) {
-			for _, it := range b.batch.Items {
-				b.sink(levermsg.Result{Attempt: it.Attempt, Outcome: levermsg.NotYet, Oldest: 5, Newest: 6})
-			}
-		}
-		stale(<-s.batches)
-		stale(<-s.batches) // the other replicas
-		again := <-s.batches
-		is.Equal(again.batch.Query.Version, leverid.IndexVersion(6))
-		again.sink(ok(again.batch.Items[0], 6, "x"))
-		again.sink(levermsg.Result{Attempt: again.batch.Items[1].Attempt, Outcome: levermsg.Gone, Oldest: 8, Newest: 9})
-		last := <-s.batches
-		last.sink(levermsg.Result{Attempt: last.batch.Items[0].Attempt, Outcome: levermsg.Gone, Oldest: 8, Newest: 9})
-		end := <-done
-		is.NoErr(end.err)
-		is.Equal(end.answer.Snapshot, leverid.IndexVersion(6))
-		is.Equal(end.answer.Coverage.Missing, []leverid.ShardID{1})
-		is.Equal(len(s.batches), 0) // no second restart
+		trial := &leverengine.Outcome{Verdict: leverengine.NotRun, Cause: leverengine.OnTrial}
+		s := &script{outcomes: []*leverengine.Outcome{trial, trial, records(`{}`, `{}`)}}
+		a, _ := ask(engine(t, s, nil), false)
+		is.True(a != nil && len(s.asked) == 3)
 	})
 }
 
-// TestOnceIsNeverRepeated checks each end of the one attempt.
-func TestOnceIsNeverRepeated(t *testing.T) {
+// TestOnceEnds checks what follows each end of a request that is not repeatable:
+// the claim is given up only if nothing ran.
+func TestOnceEnds(t *testing.T) {
+	passed := func(status int) *leverengine.Outcome {
+		return &leverengine.Outcome{Verdict: leverengine.Passed, Ran: true, Reply: &leverpool.Reply{Status: status, Body: []byte(`{}`)}}
+	}
 	cases := map[string]struct {
-		outcome levermsg.Outcome
-		run     leverid.RunState
-		again   bool
+		outcome  *leverengine.Outcome
+		claim    error
+		reason   leverquery.Reason
+		run      leverid.RunState
+		released int
+		sent     int
 	}{
-		"reset":              {levermsg.Reset, leverid.MayHaveRun, false},
-		"timed out":          {levermsg.TimedOut, leverid.MayHaveRun, false},
-		"failed midway":      {levermsg.Failed, leverid.MayHaveRun, false},
-		"mismatch":           {levermsg.Mismatch, leverid.MayHaveRun, false},
-		"home lost after":    {levermsg.HomeLost, leverid.MayHaveRun, false},
-		"home never reached": {levermsg.HomeLost, leverid.NotRun, true},
-		"draining":           {levermsg.Draining, leverid.NotRun, true},
-		"nobody listens":     {levermsg.Unreachable, leverid.NotRun, true},
+		"answered":        {outcome: passed(http.StatusOK), sent: 1},
+		"failed midway":   {outcome: passed(http.StatusInternalServerError), reason: leverquery.OutcomeUnknown, run: leverid.MayHaveRun, sent: 1},
+		"reset":           {outcome: &leverengine.Outcome{Verdict: leverengine.MayHaveRun, Ran: true}, reason: leverquery.OutcomeUnknown, run: leverid.MayHaveRun, sent: 1},
+		"late after send": {outcome: &leverengine.Outcome{Verdict: leverengine.Late, Ran: true}, reason: leverquery.OutcomeUnknown, run: leverid.MayHaveRun, sent: 1},
+		"not run":         {outcome: &leverengine.Outcome{Verdict: leverengine.NotRun}, reason: leverquery.Unavailable, released: 1, sent: 1},
+		"late before":     {outcome: &leverengine.Outcome{Verdict: leverengine.Late}, reason: leverquery.Unavailable, released: 1, sent: 1},
+		"claimed before":  {claim: leverclaim.ErrTaken, reason: leverquery.ClaimTaken, run: leverid.MayHaveRun},
+		"store down":      {claim: leverstore.ErrUnavailable, reason: leverquery.ClaimFailed},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				e, s := engine(t, leverquery.Settings{Retry: "unbounded", Hedge: "quantile", HedgeQuantile: 0.9})
-				warm(e, s)
-				done := query(e, true)
-				b := <-s.batches
-				is.Equal(len(b.batch.Items), 1)
-				time.Sleep(500 * time.Millisecond) // never hedged
-				is.Equal(len(s.batches), 0)
-				b.sink(levermsg.Result{Attempt: b.batch.Items[0].Attempt, Outcome: c.outcome, Run: c.run})
-				synctest.Wait()
-				is.Equal(len(s.batches), map[bool]int{true: 1}[c.again])
-				if c.again {
-					next := <-s.batches
-					next.sink(ok(next.batch.Items[0], 7))
-				}
-				end := <-done
-				is.Equal(end.err == nil, c.again)
-				var r *leverquery.Refusal
-				if errors.As(end.err, &r) {
-					is.Equal(r.Run, leverid.MayHaveRun)
-				}
-			})
+			is := is.New(t)
+			s := &script{outcomes: []*leverengine.Outcome{c.outcome}}
+			l := &ledger{err: c.claim}
+			a, refusal := ask(engine(t, s, l), true)
+			is.Equal(len(s.asked), c.sent)
+			is.Equal(l.released, c.released)
+			if c.reason == "" {
+				is.True(a != nil)
+				is.True(s.asked[0].Variant.Once)
+				return
+			}
+			is.Equal(refusal.Reason, c.reason)
+			is.Equal(refusal.Run, c.run)
 		})
 	}
 }
--- a/internal/leverquery/request.go
+++ b/internal/leverquery/request.go
@@ -1,10 +1,10 @@
-// Package leverquery runs one query: it admits it, pins a snapshot, plans the
-// shards, retries and hedges, and makes one answer with its coverage.
+// Package leverquery runs one query of the product's own face: it pins a
+// snapshot, has the engine ask the shards, and makes one answer with its
+// coverage.
 package leverquery
 
 import (
 	"fmt"
-	"strconv"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverid"
@@ -27,19 +27,6 @@
 	Version leverid.IndexVersion
 	After   string
 	Limit   int
-
-	fingerprint leverid.Fingerprint
-}
-
-// Fingerprint identifies the request's content without its id. It is worked out
-// once: the request must not change after the first call. It is not safe for
-// concurrent use.
-func (r *Request) Fingerprint() leverid.Fingerprint {
-	if r.fingerprint == 0 {
-		h := leverid.Hash(string(r.Service), string(r.Body), r.Key, r.After, strconv.Itoa(r.Limit))
-		r.fingerprint = leverid.Fingerprint(h)
-	}
-	return r.fingerprint
 }
 
 // Coverage says which shards of the pinned version an answer covers.
@@ -52,14 +39,6 @@
 	Partial []leverid.ShardID
 }
 
-// Part returns covered over total.
-func (c Coverage) Part() float64 {
-	if c.Total == 0 {
-		return 0
-	}
-	return float64(c.Covered) / float64(c.Total)
-}
-
 // Answer is the answer to one request, from one snapshot.
 type Answer struct {
 	Records  []levermsg.Record
@@ -69,8 +48,7 @@
 	More bool
 	// Restarted says that the query began again at another version.
 	Restarted bool
-	// Needed and Attempts count the shards and the attempts at them.
-	Needed   int
+	// Attempts counts the calls of upstreams.
 	Attempts int
 }
 
--- a/internal/leverrank/demand.go
+++ b/internal/leverrank/demand.go
@@ -4,9 +4,11 @@
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverid"
-	"arbutuslever.dev/lever/internal/levermsg"
 )
 
+// Rates is a rate for each rank.
+type Rates [leverid.RankCount]float64
+
 // demandWindow is the time over which an entry VM averages what it is offered.
 const demandWindow = 250 * time.Millisecond
 
@@ -19,7 +21,7 @@
 type Meter struct {
 	start time.Time
 	count [leverid.RankCount]float64
-	rate  levermsg.RankRates
+	rate  Rates
 	warm  bool
 }
 
@@ -34,7 +36,7 @@
 
 // Rates returns the offered rates. While a window runs, a rate that is already
 // far above the last windows' shows at once.
-func (m *Meter) Rates(now time.Time) levermsg.RankRates {
+func (m *Meter) Rates(now time.Time) Rates {
 	m.roll(now)
 	out := m.rate
 	for r := range out {
@@ -66,40 +68,3 @@
 	m.warm = true
 	m.start = now
 }
-
-// reportLife is how long an entry VM's last report counts.
-const reportLife = 2 * time.Second
-
-type report struct {
-	rates levermsg.RankRates
-	at    time.Time
-}
-
-// Reports sums up the demand that entry VMs report for one upstream. The zero
-// value is ready to use. It is not safe for concurrent use.
-type Reports struct {
-	byVM map[leverid.VMID]report
-}
-
-// Set replaces the report of one VM.
-func (p *Reports) Set(vm leverid.VMID, rates levermsg.RankRates, now time.Time) {
-	if p.byVM == nil {
-		p.byVM = make(map[leverid.VMID]report)
-	}
-	p.byVM[vm] = report{rates: rates, at: now}
-}
-
-// Sum returns the demand over all VMs whose report is fresh.
-func (p *Reports) Sum(now time.Time) levermsg.RankRates {
-	var sum levermsg.RankRates
-	for vm, rep := range p.byVM {
-		if now.Sub(rep.at) > reportLife {
-			delete(p.byVM, vm)
-			continue
-		}
-		for r := range sum {
-			sum[r] += rep.rates[r]
-		}
-	}
-	return sum
-}
--- a/internal/leverrank/queue.go
+++ b/internal/leverrank/queue.go
@@ -1,26 +1,20 @@
-// Package leverrank decides which rank is served next, how much of the work of
-// each rank is admitted, and what is shed. It does no I/O.
 package leverrank
 
-import (
-	"time"
-
-	"arbutuslever.dev/lever/internal/leverid"
-)
-
-// Floors is the part of capacity that each rank keeps while it has demand,
-// whatever the other ranks offer.
-type Floors [leverid.RankCount]float64
+import "arbutuslever.dev/lever/internal/leverid"
 
 // Ticket is the place of one piece of work in a Queue.
 type Ticket struct {
-	Rank   leverid.Rank
-	Queued time.Time
+	Rank leverid.Rank
+	// Run is called when it is the ticket's turn.
+	Run func()
 
 	withdrawn bool
 	queued    bool
 }
 
+// Waiting reports whether the work is in a queue.
+func (t *Ticket) Waiting() bool { return t.queued && !t.withdrawn }
+
 // Queue orders the work of one upstream: the most urgent rank first, but each
 // rank at least at its floor. Within a rank, work is served in order of
 // arrival. The zero value has no floors. It is not safe for concurrent use.
@@ -73,6 +67,17 @@
 	return n
 }
 
+// Turns returns how many tickets are served before a new one of rank r has its
+// turn, if no more urgent one comes: those ahead of it, or those that a floor lets
+// pass, whichever are fewer.
+func (q *Queue) Turns(r leverid.Rank) float64 {
+	turns := float64(q.Ahead(r))
+	if q.Floors[r] > 0 {
+		turns = min(turns, float64(q.length[r]+1)/q.Floors[r])
+	}
+	return turns
+}
+
 // Pop returns the ticket to serve next, or nil if there is none.
 func (q *Queue) Pop() *Ticket {
 	r, ok := q.nextRank()
--- a/internal/leverrank/room_test.go
+++ b/internal/leverrank/room_test.go
@@ -55,7 +55,7 @@
 					}
 					backlog += work
 					done[rank] += work
-					r.Observe(work, backlog > slow, now)
+					r.Observe(0, 1, work, backlog > slow, now)
 				}
 			}
 			total := 0.0
@@ -81,6 +81,70 @@
 	for range 10000 {
 		now = now.Add(5 * time.Millisecond)
 		is.True(r.Admit(leverid.Bulk, 0.001, now))
-		r.Observe(0.001, false, now)
+		r.Observe(0, 1, 0.001, false, now)
 	}
 }
+
+// TestRoomAfterRefusals refuses all calls for two seconds: some are let in
+// meanwhile, and soon after all are again.
+func TestRoomAfterRefusals(t *testing.T) {
+	cases := map[string]time.Duration{"few requests": 20 * time.Millisecond, "many requests": time.Millisecond}
+	for name, gap := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var r leverrank.Room
+			now := time.Unix(1000, 0)
+			begin, end := now.Add(5*time.Second), now.Add(7*time.Second)
+			probes := 0
+			for now.Before(end.Add(4 * time.Second)) {
+				now = now.Add(gap)
+				refused := now.After(begin) && now.Before(end)
+				in := r.Admit(leverid.Routine, 0.005, now)
+				is.True(in || !now.Before(begin) && now.Before(end.Add(2*time.Second)))
+				switch {
+				case in && refused:
+					probes++
+					r.Refuse(now)
+					r.Refuse(now)
+				case in:
+					r.Observe(0, 2, 0.005, false, now)
+					r.Observe(1, 2, 0.005, false, now)
+				}
+			}
+			is.True(probes > 0)
+		})
+	}
+}
+
+// TestRoomOfTheTightestPart floods a service one of whose two parts has room for
+// half of what the other has: little more is let in than that part can do.
+func TestRoomOfTheTightestPart(t *testing.T) {
+	is := is.New(t)
+	var r leverrank.Room
+	now := time.Unix(1000, 0)
+	const tight = 4 // of ten requests
+	admitted, offered := 0, 0
+	for i := range 20000 {
+		now = now.Add(time.Millisecond)
+		late := i > 10000
+		in := r.Admit(leverid.Bulk, 0.005, now)
+		if late {
+			offered++
+		}
+		if !in {
+			continue
+		}
+		if late {
+			admitted++
+		}
+		r.Observe(0, 2, 0.005, false, now)
+		// The tight part does 400 a second.
+		if i%10 < tight {
+			r.Observe(1, 2, 0.005, false, now)
+		} else {
+			r.Refuse(now)
+		}
+	}
+	part := float64(admitted) / float64(offered)
+	is.True(part < 0.5)
+}
--- a/internal/leverrelay/relay.go
+++ b/internal/leverrelay/relay.go
@@ -31,6 +31,10 @@
 	bootPatience = 450 * time.Millisecond
 	// retryPause is the pause after a parent could not be followed.
 	retryPause = 100 * time.Millisecond
+	// detours is the number of other VMs that a VM asks whose parents don't lead
+	// to the store, and detourTime how long it follows one of them.
+	detours    = 2
+	detourTime = 2 * time.Second
 	// replyGap is the least time between two updates for one child.
 	replyGap = 20 * time.Millisecond
 )
@@ -147,6 +151,13 @@
 	return slices.ContainsFunc(r.Seeds, func(s levermsg.VM) bool { return s.Peer == self })
 }
 
+// IsWatcher reports whether this VM is one of those that watch the store for all
+// or stand by for it.
+func (r *Relay) IsWatcher() bool {
+	rank := r.rank()
+	return rank >= 0 && rank < watchers
+}
+
 // Ranked returns the live VMs, the most powerful first, in an order that all
 // VMs with the same view agree on.
 func Ranked(live []levermsg.VM) []levermsg.VM {
@@ -181,6 +192,25 @@
 	return out
 }
 
+// detours returns other VMs, picked at random, to follow while no parent leads to
+// the store: the VMs that watch it may all be cut off.
+func (r *Relay) detours() []levermsg.VM {
+	parents := r.parents()
+	var others []levermsg.VM
+	for _, vm := range r.Members.Live(r.Timer.Now()) {
+		if vm.ID != r.Self && !slices.Contains(parents, vm) {
+			others = append(others, vm)
+		}
+	}
+	var out []levermsg.VM
+	for range min(detours, len(others)) {
+		i := r.Timer.Pick(len(others))
+		out = append(out, others[i])
+		others = slices.Delete(others, i, i+1)
+	}
+	return out
+}
+
 // runChild follows one parent after the other.
 func (r *Relay) runChild(ctx context.Context) {
 	last := make(map[leverid.VMID]Follow)
@@ -189,13 +219,16 @@
 			r.Timer.Sleep(ctx, tick)
 			continue
 		}
-		for _, vm := range r.parents() {
+		for _, vm := range append(r.parents(), r.detours()...) {
 			f := last[vm.ID]
 			r.follow(ctx, vm, &f)
 			if len(last) > maxParents {
 				clear(last)
 			}
 			last[vm.ID] = f
+			if r.Watches() && r.StoreCurrent() {
+				break
+			}
 		}
 		r.Timer.Sleep(ctx, r.Timer.Jitter(retryPause, 0.5))
 	}
@@ -211,6 +244,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer r.setParent("", nil)
+	begun := r.Timer.Now()
 	call, err := r.Peers.Call(ctx, vm, leverpeer.KindFollow, f)
 	if err != nil {
 		r.Log.Debug("a parent can't be followed", "parent", vm.ID, "err", err)
@@ -220,9 +254,10 @@
 	for {
 		wait, stop := context.WithTimeout(ctx, parentCheck)
 		body, _, err := call.Next(wait)
+		quiet := wait.Err() != nil
 		stop()
-		if err != nil && wait.Err() != nil && ctx.Err() == nil {
-			if r.isParent(vm) && r.hasPath() && !r.leads() {
+		if err != nil && quiet && ctx.Err() == nil {
+			if r.hasPath() && !r.leads() && (r.isParent(vm) || r.Timer.Now().Sub(begun) < detourTime) {
 				continue
 			}
 			return
--- a/internal/leverstore/store.go
+++ b/internal/leverstore/store.go
@@ -72,8 +72,9 @@
 
 // The keys and prefixes of the objects that the query tier reads or writes.
 const (
-	ConfigKey   leverid.ObjectKey = "config/main"
-	IndexPrefix leverid.ObjectKey = "index/"
-	ClaimPrefix leverid.ObjectKey = "claim/"
-	CrashKey    leverid.ObjectKey = "crash/main"
+	// ServingPrefix is that of all that VMs work by.
+	ServingPrefix leverid.ObjectKey = "serving/"
+	ConfigKey     leverid.ObjectKey = ServingPrefix + "config"
+	IndexPrefix   leverid.ObjectKey = ServingPrefix + "index/"
+	ClaimPrefix   leverid.ObjectKey = "claim/"
 )
--- a/internal/levertest/net.go
+++ b/internal/levertest/net.go
@@ -1,5 +1,5 @@
 // Package levertest holds small fakes for the interfaces of the parts: a
-// network with delays and cuts, upstreams called directly, and whole nodes
+// network with delays and cuts, upstreams on it, and whole nodes
 // joined by them. It is made for virtual time (testing/synctest).
 package levertest
 
--- a/internal/levertest/system.go
+++ b/internal/levertest/system.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"arbutuslever.dev/lever/internal/leverhistory"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leverkernel"
+	"arbutuslever.dev/lever/internal/leverlog"
 	"arbutuslever.dev/lever/internal/levermodel"
 	"arbutuslever.dev/lever/internal/levermsg"
 	"arbutuslever.dev/lever/internal/leverpeer"
@@ -40,6 +42,7 @@
 	next    int
 	seed    uint64
 	noList  bool
+	log     leverlog.Logger
 }
 
 // life ends with a node's process.
@@ -62,6 +65,8 @@
 	Behaviour levermodel.Behaviour
 	// Backlog is the number of requests that an upstream lets wait.
 	Backlog int
+	// Log gets the nodes' logs; it may be nil.
+	Log io.Writer
 	// NoList keeps the platform's list of VMs empty.
 	NoList bool
 }
@@ -74,6 +79,9 @@
 		lives: make(map[leverid.VMID]*life), noList: o.NoList,
 	}
 	s.Net.Delay = s.delay
+	if o.Log != nil {
+		s.log = leverlog.New(o.Log, "info", "test")
+	}
 	s.Fleet = &Fleet{Net: s.Net}
 	for _, a := range o.Deployment.Apps {
 		for n := 1; n <= a.Services; n++ {
@@ -180,19 +188,17 @@
 	}
 	s.mu.Unlock()
 	node := leverkernel.New(leverkernel.Options{
-		Self: vm, Seeds: seeds, PeerKeys: leverpeer.NewKeys(key),
-		Store: &heldStore{Memory: s.Platform, net: s.Net, host: vm.Peer}, Upstream: s.Fleet.Client(vm.ID, vm.Domain),
-		Dial: func(ctx context.Context, to string) (net.Conn, error) { return s.Net.Dial(ctx, vm.Peer, to) },
-		Seed: s.seed + uint64(i),
+		Self: vm, Seeds: seeds, PeerKeys: leverpeer.NewKeys(key), Log: s.log,
+		Store: &heldStore{Memory: s.Platform, net: s.Net, host: vm.Peer},
+		Dial:  func(ctx context.Context, to string) (net.Conn, error) { return s.Net.Dial(ctx, vm.Peer, to) },
 	})
-	s.Net.Listen(vm.Peer, node.Server().Accept)
 	s.mu.Lock()
 	s.nodes[vm.ID] = node
 	s.lives[vm.ID] = newLife()
 	s.order = append(s.order, vm.ID)
 	s.mu.Unlock()
 	s.UpdateList()
-	node.Start()
+	node.Start(s.Net.Listener(vm.Peer))
 	return node
 }
 
@@ -237,7 +243,6 @@
 	s.life(id).end()
 	s.Net.Kill(string(id))
 	s.remove(id).Stop()
-	s.Fleet.Forget(id)
 }
 
 // StopVM ends a node by a planned stop.
@@ -254,7 +259,6 @@
 	err := node.Drain(ctx)
 	node.Stop()
 	s.Net.Kill(string(id))
-	s.Fleet.Forget(id)
 	return err
 }
 
@@ -280,6 +284,7 @@
 		n.Stop()
 	}
 	s.History.AddEvents(s.retired)
+	s.Fleet.Close()
 	// Virtual time stands still once a test has returned: what is under way
 	// needs to end before.
 	time.Sleep(closeTime)
--- a/internal/levertest/upstream.go
+++ b/internal/levertest/upstream.go
@@ -1,24 +1,16 @@
 package levertest
 
 import (
-	"context"
+	"net/http"
 	"sync"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/levermodel"
-	"arbutuslever.dev/lever/internal/levermsg"
-	"arbutuslever.dev/lever/internal/leversnapshot"
-	"arbutuslever.dev/lever/internal/levertimer"
-	"arbutuslever.dev/lever/internal/leverupstream"
 )
 
-// clock makes the waits of the fakes.
-var clock levertimer.Service
-
-// Fleet is a set of modelled upstreams that VMs call directly, with delays,
-// connections that cost time, and a limit on them. It is safe for concurrent
-// use.
+// Fleet is a set of modelled upstreams that VMs call over the network, with
+// connections that cost time and a limit on them. It is safe for concurrent use.
 type Fleet struct {
 	Net *Net
 
@@ -26,27 +18,83 @@
 	upstreams map[leverid.UpstreamID]*fleetUpstream
 }
 
+// fleetUpstream serves one model, over restarts of its process.
 type fleetUpstream struct {
+	net   *Net
 	model *levermodel.Upstream
 	limit int
 	cost  time.Duration
 
-	mu   sync.Mutex
-	open int
-	most int
-	idle map[leverid.VMID]int
-	// refused counts connections beyond the limit.
-	refused int
+	done chan struct{}
+
+	mu       sync.Mutex
+	listener *levermodel.Listener
+	server   *http.Server
+	// most and refused sum up the listeners before.
+	most, refused int
 }
 
-// Add puts an upstream into the fleet.
+// Add puts an upstream into the fleet and serves it at its id.
 func (f *Fleet) Add(id leverid.UpstreamID, model *levermodel.Upstream, connections int, cost time.Duration) {
+	u := &fleetUpstream{net: f.Net, model: model, limit: connections, cost: cost, done: make(chan struct{})}
+	model.OnAway = u.away
+	u.listen()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.upstreams == nil {
 		f.upstreams = make(map[leverid.UpstreamID]*fleetUpstream)
 	}
-	f.upstreams[id] = &fleetUpstream{model: model, limit: connections, cost: cost, idle: make(map[leverid.VMID]int)}
+	f.upstreams[id] = u
+}
+
+func (u *fleetUpstream) listen() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.sum()
+	u.listener = &levermodel.Listener{Listener: u.net.Listener(string(u.model.ID())), Limit: u.limit, Cost: u.cost}
+	u.server = &http.Server{Handler: (&levermodel.Face{Upstream: u.model}).Handler(), ReadHeaderTimeout: time.Minute}
+	go u.runServer(u.server, u.listener)
+}
+
+func (u *fleetUpstream) runServer(s *http.Server, l *levermodel.Listener) {
+	// It ends when the process does.
+	_ = s.Serve(l)
+}
+
+// sum adds up the present listener's counts.
+func (u *fleetUpstream) sum() {
+	if u.listener == nil {
+		return
+	}
+	most, refused := u.listener.Stats()
+	u.most, u.refused = max(u.most, most), u.refused+refused
+	u.listener = nil
+}
+
+// away ends the process until a time.
+func (u *fleetUpstream) away(until time.Time) {
+	go u.runAway(time.Until(until))
+}
+
+func (u *fleetUpstream) runAway(d time.Duration) {
+	u.end()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		u.listen()
+	case <-u.done:
+	}
+}
+
+// end cuts all connections.
+func (u *fleetUpstream) end() {
+	u.mu.Lock()
+	server := u.server
+	u.mu.Unlock()
+	u.net.Kill(string(u.model.ID()))
+	// The connections are gone whether or not this fails.
+	_ = server.Close()
 }
 
 // Model returns the model of an upstream.
@@ -72,6 +120,7 @@
 	defer f.mu.Unlock()
 	for _, u := range f.upstreams {
 		u.mu.Lock()
+		u.sum()
 		most = max(most, float64(u.most)/float64(max(u.limit, 1)))
 		refused += u.refused
 		u.mu.Unlock()
@@ -79,113 +128,12 @@
 	return most, refused
 }
 
-// Client returns the calls of one VM.
-func (f *Fleet) Client(vm leverid.VMID, d leverid.Domain) leverupstream.Client {
-	return &fleetClient{fleet: f, vm: vm, domain: d}
-}
-
-type fleetClient struct {
-	fleet  *Fleet
-	vm     leverid.VMID
-	domain leverid.Domain
-}
-
-// Do makes one attempt.
-func (c *fleetClient) Do(ctx context.Context, u leversnapshot.Upstream, q *levermsg.Query, it levermsg.Item) levermsg.Result {
-	c.fleet.mu.Lock()
-	up := c.fleet.upstreams[u.ID]
-	c.fleet.mu.Unlock()
-	if up == nil {
-		return levermsg.Result{Outcome: levermsg.Unreachable}
-	}
-	host, far := string(c.vm), string(u.ID)
-	way := c.fleet.Net.delay(host, far)
-	fresh, ok := up.connect(c.vm)
-	if !ok {
-		return levermsg.Result{Outcome: levermsg.Unreachable, Detail: "connection limit"}
-	}
-	defer up.release(c.vm)
-	if fresh && !clock.Sleep(ctx, up.cost+2*way) {
-		return levermsg.Result{Outcome: levermsg.Expired}
-	}
-	if err := c.fleet.Net.Wait(ctx, host); err != nil {
-		return levermsg.Result{Outcome: levermsg.Expired}
-	}
-	if c.cut(host, far) {
-		<-ctx.Done()
-		return ended(ctx)
-	}
-	if !clock.Sleep(ctx, way) {
-		return ended(ctx)
-	}
-	reply, end := up.model.Do(ctx, it.Shard, newRequest(q, it))
-	back := clock.Sleep(ctx, way)
-	if end == levermodel.Refused {
-		return levermsg.Result{Outcome: levermsg.Unreachable}
-	}
-	if !back || ctx.Err() != nil || c.cut(host, far) {
-		<-ctx.Done()
-		return ended(ctx)
-	}
-	if end == levermodel.Broken {
-		return levermsg.Result{Outcome: levermsg.Reset, Run: leverid.MayHaveRun}
-	}
-	return reply.Result(q, it)
-}
-
-func (c *fleetClient) cut(a, b string) bool {
-	c.fleet.Net.mu.Lock()
-	defer c.fleet.Net.mu.Unlock()
-	return c.fleet.Net.cuts[[2]string{a, b}]
-}
-
-// ended is the end of an attempt whose context ended after the send.
-func ended(ctx context.Context) levermsg.Result {
-	out := levermsg.Result{Outcome: levermsg.TimedOut, Run: leverid.MayHaveRun}
-	if context.Cause(ctx) == context.Canceled {
-		out.Outcome = levermsg.Withdrawn
-	}
-	return out
-}
-
-func newRequest(q *levermsg.Query, it levermsg.Item) *leverupstream.Request {
-	return &leverupstream.Request{
-		Attempt: it.Attempt, Service: q.Service, Version: q.Version, Rank: q.Rank, Request: q.Request,
-		DeadlineMS: q.Deadline.UnixMilli(), Repeatable: !q.Once, After: q.After, Limit: q.Limit, Body: q.Body,
-	}
-}
-
-// connect takes an idle connection of the VM, or opens one within the limit.
-func (u *fleetUpstream) connect(vm leverid.VMID) (fresh, ok bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.idle[vm] > 0 {
-		u.idle[vm]--
-		return false, true
-	}
-	if u.open >= u.limit {
-		u.refused++
-		return false, false
-	}
-	u.open++
-	u.most = max(u.most, u.open)
-	return true, true
-}
-
-func (u *fleetUpstream) release(vm leverid.VMID) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.idle[vm]++
-}
-
-// Forget closes the connections of a VM that is gone.
-func (f *Fleet) Forget(vm leverid.VMID) {
+// Close ends all upstreams.
+func (f *Fleet) Close() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, u := range f.upstreams {
-		u.mu.Lock()
-		u.open -= max(u.idle[vm], 0)
-		delete(u.idle, vm)
-		u.mu.Unlock()
+		close(u.done)
+		u.end()
 	}
 }
--- a/internal/levertrial/control.go
+++ b/internal/levertrial/control.go
@@ -20,8 +20,8 @@
 	VMs, Services int
 	// Calls is the store's calls per second by kind.
 	Calls map[string]float64
-	// Bytes and Beats are per VM and second, sent to peers.
-	Bytes, Beats float64
+	// Bytes are per VM and second, sent to peers.
+	Bytes float64
 	// InForce is how long the slowest VM took for a change.
 	InForce time.Duration
 	// ChangeBytes is what one change adds per VM, in bytes.
@@ -76,7 +76,7 @@
 	}
 	now := sumCounters(s)
 	per := func(name string) float64 { return float64(now[name]-sent[name]) / span.Seconds() / float64(vms) }
-	c.Bytes, c.Beats = per("peer-bytes-sent"), per("spread-beats")
+	c.Bytes = per("peer-bytes-sent")
 	for _, n := range s.Nodes() {
 		c.Connections += float64(n.PeerConnections()) / float64(vms)
 	}
--- a/internal/levertrial/control_test.go
+++ b/internal/levertrial/control_test.go
@@ -42,6 +42,7 @@
 	}
 	for name, f := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				c := levertrial.MeasureControl(7, 10, f, time.Hour)
--- a/internal/levertrial/trial.go
+++ b/internal/levertrial/trial.go
@@ -1,6 +1,5 @@
-// Package levertrial measures the policies under load and faults: it runs one
-// case with the policy and with the baseline, in virtual time, and reports
-// what each rank got.
+// Package levertrial measures the product under load and faults: it runs one
+// case with a configuration, in virtual time, and reports what each rank got.
 package levertrial
 
 import (
@@ -20,19 +19,13 @@
 const (
 	// Chosen is the default configuration.
 	Chosen Policy = "policy"
-	// Direct is the default configuration without homes.
-	Direct Policy = "direct"
-	// Plain admits all, retries without a budget, never hedges and calls
-	// upstreams directly.
+	// Plain makes no attempt beside or after the first ones.
 	Plain Policy = "baseline"
 )
 
 var documents = map[Policy]string{
 	Chosen: `{}`,
-	Direct: `{"system": {"routing": "direct"}}`,
-	Plain: `{"system": {"routing": "direct", "direct-divisor": 1},
-		"defaults": {"admission": "open", "limit": "none", "retry": "unbounded", "hedge": "none",
-			"floor-routine": 0, "floor-bulk": 0}}`,
+	Plain:  `{"system": {"extra-part": 0, "extra-slack": 0}}`,
 }
 
 // Case is one situation to measure.
--- a/internal/levertrial/trial_test.go
+++ b/internal/levertrial/trial_test.go
@@ -79,6 +79,7 @@
 	unloaded := unloadedP99(t, d)
 	for _, c := range levertrial.Cases(d) {
 		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
 			var r *levertrial.Result
 			synctest.Test(t, func(*testing.T) {
 				r = levertrial.Run(c, levertrial.Setting{Deployment: d, VMs: 7, Seed: 1}, levertrial.Chosen)
--- a/internal/leverupstream/wire.go
+++ b/internal/leverupstream/wire.go
@@ -1,30 +1,65 @@
-// Package leverupstream calls upstreams over HTTP. docs/UPSTREAM.md states the
-// protocol.
 package leverupstream
 
 import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/levermsg"
+
+	"github.com/juju/errors"
 )
 
-// Request is the body of a call of one shard.
+// Request is the body of a query of one shard. It is the same for all shards.
 type Request struct {
-	// Attempt is echoed by the reply.
-	Attempt leverid.AttemptID    `json:"attempt"`
-	Service leverid.ServiceID    `json:"service"`
-	Version leverid.IndexVersion `json:"version"`
-	Rank    leverid.Rank         `json:"rank"`
-	Request leverid.RequestID    `json:"request"`
-	// DeadlineMS is in milliseconds since the Unix epoch. The upstream must
-	// not begin the request after it.
-	DeadlineMS int64            `json:"deadline-ms"`
 	Repeatable bool             `json:"repeatable"`
 	After      string           `json:"after,omitempty"`
 	Limit      int              `json:"limit,omitempty"`
 	Body       levermsg.RawJSON `json:"body,omitempty"`
 }
 
-// Reason is why an upstream refused a call.
+// Call is a query as an upstream gets it.
+type Call struct {
+	Request
+	Shard Shard
+	ID    leverid.RequestID
+	Rank  leverid.Rank
+	// Upstream is the one that is meant.
+	Upstream leverid.UpstreamID
+	// Due is when the time is over. The upstream must not begin after it.
+	Due time.Time
+}
+
+// maxRequest bounds a query's body in bytes.
+const maxRequest = 2 << 20
+
+// ReadCall reads a query that arrived now.
+func ReadCall(w http.ResponseWriter, r *http.Request, now time.Time) (*Call, error) {
+	shard, err := ParseShard(r.Header.Get(HeaderShard))
+	if err != nil {
+		return nil, err
+	}
+	left, err := strconv.ParseInt(r.Header.Get(HeaderLeft), 10, 64)
+	if err != nil {
+		return nil, errors.BadRequestf("%s: %v", HeaderLeft, err)
+	}
+	rank, err := leverid.ParseRank(r.Header.Get(HeaderRank))
+	if err != nil {
+		return nil, err
+	}
+	c := &Call{
+		Shard: shard, Rank: rank, ID: leverid.RequestID(r.Header.Get(HeaderRequest)),
+		Upstream: leverid.UpstreamID(r.Header.Get(HeaderUpstream)), Due: now.Add(time.Duration(left) * time.Millisecond),
+	}
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequest)).Decode(&c.Request); err != nil {
+		return nil, errors.BadRequestf("body: %v", err)
+	}
+	return c, nil
+}
+
+// Reason is why an upstream refused a query.
 type Reason string
 
 // The reasons.
@@ -37,60 +72,39 @@
 	ReasonFailed   Reason = "failed"
 )
 
-// Reply is the body of every reply. Reason is empty if the call succeeded.
-type Reply struct {
-	Attempt leverid.AttemptID    `json:"attempt"`
-	Version leverid.IndexVersion `json:"version,omitempty"`
-	Partial bool                 `json:"partial,omitempty"`
-	Records []levermsg.Record    `json:"records,omitempty"`
-	Oldest  leverid.IndexVersion `json:"oldest,omitempty"`
-	Newest  leverid.IndexVersion `json:"newest,omitempty"`
-	Reason  Reason               `json:"reason,omitempty"`
-	Run     leverid.RunState     `json:"run-state"`
-	Detail  string               `json:"detail,omitempty"`
+var statuses = map[Reason]int{
+	"":             http.StatusOK,
+	ReasonShed:     http.StatusTooManyRequests,
+	ReasonDraining: http.StatusServiceUnavailable,
+	ReasonGone:     http.StatusGone,
+	ReasonNotYet:   http.StatusTooEarly,
+	ReasonExpired:  http.StatusGatewayTimeout,
+	ReasonFailed:   http.StatusInternalServerError,
 }
 
-var outcomes = map[Reason]levermsg.Outcome{
-	ReasonShed:     levermsg.Shed,
-	ReasonDraining: levermsg.Draining,
-	ReasonGone:     levermsg.Gone,
-	ReasonNotYet:   levermsg.NotYet,
-	ReasonExpired:  levermsg.Expired,
-	ReasonFailed:   levermsg.Failed,
-}
+// Reply is the body of every reply. Reason is empty if the query succeeded.
+type Reply struct {
+	Partial bool              `json:"partial,omitempty"`
+	Records []levermsg.Record `json:"records,omitempty"`
+	Reason  Reason            `json:"reason,omitempty"`
+	Detail  string            `json:"detail,omitempty"`
 
-// Result turns a reply into the end of an attempt. A reply that belongs to
-// another attempt or another version counts for nothing.
-func (r *Reply) Result(q *levermsg.Query, it levermsg.Item) levermsg.Result {
-	out := levermsg.Result{
-		Attempt: it.Attempt, Version: r.Version, Run: r.Run,
-		Oldest: r.Oldest, Newest: r.Newest, Detail: r.Detail,
-	}
-	if r.Attempt != it.Attempt {
-		out.Outcome = levermsg.Mismatch
-		out.Run = leverid.MayHaveRun
-		out.Detail = "reply to attempt " + r.Attempt.String()
-		return out
-	}
-	if r.Reason != "" {
-		out.Outcome = reasonOutcome(r.Reason)
-		return out
-	}
-	out.Run = leverid.MayHaveRun
-	if r.Version != q.Version {
-		out.Outcome = levermsg.Mismatch
-		out.Detail = "reply from another index version"
-		return out
-	}
-	out.Outcome = levermsg.OK
-	out.Partial = r.Partial
-	out.Records = r.Records
-	return out
+	// The rest goes into the head.
+	Request  leverid.RequestID `json:"-"`
+	Run      leverid.RunState  `json:"-"`
+	Versions Versions          `json:"-"`
 }
 
-func reasonOutcome(r Reason) levermsg.Outcome {
-	if o, ok := outcomes[r]; ok {
-		return o
-	}
-	return levermsg.Failed
+// Write writes a reply of the upstream id to a call.
+func (r *Reply) Write(w http.ResponseWriter, c *Call, id leverid.UpstreamID) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderRequest, string(r.Request))
+	h.Set(HeaderShard, string(c.Shard.Name()))
+	h.Set(HeaderUpstream, string(id))
+	h.Set(HeaderRunState, r.Run.String())
+	h.Set(HeaderVersions, r.Versions.String())
+	w.WriteHeader(statuses[r.Reason])
+	// A caller that is gone needs no answer.
+	_ = json.NewEncoder(w).Encode(r)
 }
--- a/pkg/leverapi/operator.go
+++ b/pkg/leverapi/operator.go
@@ -50,8 +50,6 @@
 	// Services is the number of indexes that the VM has.
 	Services int   `json:"services"`
 	InFlight int   `json:"in-flight"`
-	Waiting  int   `json:"waiting"`
-	Running  int   `json:"running"`
 	UptimeMS int64 `json:"uptime-ms"`
 	// Counters are the VM's metrics; they are only sent when asked for.
 	Counters map[string]int64 `json:"counters,omitempty"`
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
 # Measures cases in virtual time, baseline beside policy.
 #   scripts/bench.sh [CASES [POLICIES [DEPLOYMENT [SEED [VMS]]]]]
-# CASES is a pattern over the cases' names, POLICIES a list of baseline, direct
-# and policy.
+# CASES is a pattern over the cases' names, POLICIES a list of baseline and
+# policy.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go test ./internal/levertrial -run '^TestBench$' -count=1 -timeout 60m -v -args \
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -22,7 +22,7 @@
 version=0
 patch() {
   local i=$1
-  echo "{\"services\": {\"portal-01\": {\"retry-part\": 0.$(( 1 + RANDOM % 8 ))}}}" >"$dir/patch.json"
+  echo "{\"services\": {\"portal-01\": {\"least-coverage\": 0.$(( 1 + RANDOM % 8 ))}}}" >"$dir/patch.json"
   if "$bin/arbutusctl" $(callers "$i") config patch --base "$version" "$dir/patch.json" >"$dir/patch.out" 2>&1; then
     version=$(( version + 1 ))
   else
