internal/leverrank: hear of the homes' refusals, not of the upstreams'

On the platform upstreams shed when they fail, not when they are full; the room took such sheds of all replicas of a service for a want of room. Now only a home's refusal counts; what told an outage from a flood goes with it.

--- a/internal/leverengine/admit.go
+++ b/internal/leverengine/admit.go
@@ -54,19 +54,3 @@
 	pause := time.Duration(float64(comeBack) / max(f.room.Fraction(f.route.Rank), 0.01))
 	return &Outcome{Verdict: NotRun, Cause: NoRoom, RetryAfter: min(pause, longestComeBack), Reason: "no room for this rank"}
 }
-
-// refusingPart is the part of refused calls from which on an upstream counts as
-// one that refuses.
-const refusingPart = 0.05
-
-// allRefuse reports whether all upstreams of a service refuse calls: they have no
-// room, while a single one that refuses may be failing.
-func (f *fanout) allRefuse(s leverid.ServiceID) bool {
-	now := f.engine.Timer.Now()
-	for _, u := range f.engine.Directory.View().Upstreams(s) {
-		if f.engine.Health.Failing(u, now) < refusingPart {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -11,6 +11,8 @@
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leverpool"
 	"arbutuslever.dev/lever/internal/leverrank"
+
+	"github.com/juju/errors"
 )
 
 const (
@@ -327,7 +329,8 @@
 	case leverhealth.Reset:
 		p.resets++
 	case leverhealth.Shed:
-		if f.allRefuse(p.service) {
+		// An upstream may refuse for other reasons than the load; a home does not.
+		if errors.Is(r.err, leverpool.ErrNoRoom) {
 			f.room.Refuse(f.engine.Timer.Now())
 		}
 	}
--- a/internal/leverhealth/table.go
+++ b/internal/leverhealth/table.go
@@ -306,14 +306,6 @@
 	return d
 }
 
-// Failing returns the part of the calls of an upstream that lately failed or were
-// refused.
-func (t *Table) Failing(u *leverdirectory.Upstream, now time.Time) float64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.state(u, now).failing.get(now)
-}
-
 // Usable reports whether an expected time carries no penalty for an upstream
 // that stands still or can't be reached.
 func Usable(d time.Duration) bool { return d < stalledPenalty }
--- a/internal/leverrank/room.go
+++ b/internal/leverrank/room.go
@@ -26,22 +26,13 @@
 	// roomStart is how long after its first request a group is not judged: its
 	// connections and upstreams are cold.
 	roomStart = 3 * time.Second
-	// refusedPart is the part of the calls that must be refused by upstreams whose
-	// replicas refuse, too, and roomCreep changes the room after a window that
-	// was not, once such refusals have bounded it.
+	// refusedPart is the part of the calls that must be refused for want of room,
+	// and roomCreep changes the room after a window in which fewer were, once
+	// refusals have bounded it.
 	refusedPart = 0.02
 	roomCreep   = 1.02
 	// roomKeep is the part of what was done in such a window that is let in next.
 	roomKeep = 0.97
-	// outagePart is the part of the work let in that must be done, or else the
-	// upstreams refuse all for another reason than the load, if so many calls as
-	// outageCalls were refused. outageRoom is then
-	// let in to see whether it ends, and outageGrowth changes the room once it
-	// has.
-	outagePart   = 0.005
-	outageCalls  = 5
-	outageRoom   = 0.05
-	outageGrowth = 2
 	// roomSpare is the multiple of the demand from which on there is no limit.
 	roomSpare = 1.5
 )
@@ -66,19 +57,15 @@
 	fraction [leverid.RankCount]float64
 	carry    [leverid.RankCount]float64
 
-	first, begun time.Time
-	// offered and admitted are work in this window.
-	offered  float64
-	admitted float64
-	done     float64
+	first, begun   time.Time
+	admitted, done float64
 	// byPart is the work of the requests whose part was done, by part.
 	byPart      []float64
 	calls, slow int
 	refused     int
 	overloaded  int
-	// creeping says that the room was last bounded by refusals, outage that all
-	// was refused, and recovering that this has ended.
-	creeping, outage, recovering bool
+	// creeping says that the room was last bounded by refusals.
+	creeping bool
 }
 
 // Admit counts offered work, in seconds, and reports whether it is let in.
@@ -87,7 +74,6 @@
 	defer r.mu.Unlock()
 	r.roll(now)
 	r.demand.AddWork(rank, work, now)
-	r.offered += work
 	if r.room > 0 && r.fraction[rank] < 1 {
 		r.carry[rank] += r.fraction[rank]
 		if r.carry[rank] < 1 {
@@ -117,8 +103,7 @@
 	}
 }
 
-// Refuse takes in that an upstream refused a call and that its replicas refuse
-// calls, too.
+// Refuse takes in that a call was refused for want of room.
 func (r *Room) Refuse(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -152,10 +137,10 @@
 		total += d
 	}
 	if r.room > roomSpare*total {
-		r.room, r.creeping, r.outage = 0, false, false
+		r.room, r.creeping = 0, false
 	}
 	r.allot(demand)
-	r.begun, r.offered, r.admitted, r.done, r.calls, r.slow, r.refused = now, 0, 0, 0, 0, 0, 0
+	r.begun, r.admitted, r.done, r.calls, r.slow, r.refused = now, 0, 0, 0, 0, 0
 	clear(r.byPart)
 }
 
@@ -167,13 +152,6 @@
 		growth = roomCreep
 	}
 	switch {
-	case r.outage && r.refused == 0:
-		r.room *= outageGrowth
-		r.recovering = true
-	case r.refused >= outageCalls && r.done < outagePart*r.admitted:
-		r.outage, r.recovering, r.creeping = true, false, true
-		r.room = outageRoom * r.offered / seconds
-		r.overloaded = 0
 	case r.calls+r.refused < roomCalls:
 		r.room *= growth
 		r.overloaded = 0
@@ -202,12 +180,7 @@
 			done = min(done, d)
 		}
 	}
-	if r.outage && !r.recovering {
-		// The end of the outage is in this window.
-		return
-	}
 	// What was done is what there is room for.
-	r.outage = false
 	r.room = roomKeep * min(r.admitted, done) / seconds
 }
 
