internal/levercatalog: tell other VMs the object that changed, not all of them

Cause: the configuration that a watching VM made of all objects went whole to each VM: 42 KB a change with 50 services, 170 KB with 200 (TestControlSlopes), where the budget of control is 2 KB/s a VM. Now each object is an item of the relay, and each VM makes the configuration of the items it has.

--- a/internal/levercatalog/catalog.go
+++ b/internal/levercatalog/catalog.go
@@ -94,8 +94,28 @@
 	return out, nil
 }
 
+// Compose makes the configuration of the objects that Store.Configs gave. Its
+// version is the newest revision of an object.
+func Compose(parts []*leverdirectory.Config) (*leverdirectory.Config, error) {
+	all := make(objects, len(parts))
+	var newest leverid.ConfigVersion
+	for _, p := range parts {
+		o, err := attached(p)
+		if err != nil {
+			return nil, err
+		}
+		maps.Copy(all, o)
+		newest = max(newest, p.Version)
+	}
+	return all.config(newest)
+}
+
 // check reports why an object can't replace the one before it.
-func check(next object, old []byte) error {
+func check(next, last object) error {
+	old := last.Value
+	if next.Revision < last.Revision {
+		return errors.NotValidf("revision %d after %d", next.Revision, last.Revision)
+	}
 	if next.Key == leverstore.ConfigKey {
 		return checkStored(next.Value, old)
 	}
--- a/internal/levercatalog/source.go
+++ b/internal/levercatalog/source.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"maps"
+	"slices"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverdirectory"
@@ -12,6 +12,8 @@
 	"arbutuslever.dev/lever/internal/levermsg"
 	"arbutuslever.dev/lever/internal/leversnapshot"
 	"arbutuslever.dev/lever/internal/leverstore"
+
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Store is the platform's store as a node follows it. Its fields must be set
@@ -29,7 +31,7 @@
 // Deregister does nothing.
 func (*Store) Deregister(context.Context, leverid.VMID) error { return nil }
 
-// Configs returns the source of configurations. It has one item.
+// Configs returns the source of the objects that Compose makes a configuration of.
 func (s *Store) Configs() leverfeed.Source[*leverdirectory.Config] { return &configs{store: s} }
 
 // Upstreams returns the source of the upstreams, with an item for each replica
@@ -39,21 +41,24 @@
 // VMs returns the source of the platform's list of VMs.
 func (s *Store) VMs() leverfeed.Source[levermsg.VM] { return &vms{store: s} }
 
-// configs makes configurations of the objects. It starts from the one in force,
-// so that an old read of the store takes nothing back. It is used by one
-// follower at a time.
+// configs reads the objects, an item each: a change is told to other VMs by its
+// object alone, and each VM makes the configuration of all of them (Compose).
 type configs struct{ store *Store }
 
-// configName is the name of the one item.
-const configName = "serving"
-
 // List reads all objects.
 func (c *configs) List(ctx context.Context) (leverfeed.Batch[*leverdirectory.Config], error) {
 	found, err := c.store.Objects.List(ctx, leverstore.ServingPrefix)
 	if err != nil {
 		return leverfeed.Batch[*leverdirectory.Config]{}, err
 	}
-	return c.batch(&found, true)
+	out := c.batch(&found)
+	for key, o := range c.present() {
+		// The document stays in force also if it is deleted.
+		if key == leverstore.ConfigKey && !slices.ContainsFunc(found.Objects, func(f leverstore.Object) bool { return f.Key == key }) {
+			out.Items = append(out.Items, item(o))
+		}
+	}
+	return out, nil
 }
 
 // Watch waits for a change of an object.
@@ -62,55 +67,53 @@
 	if err != nil {
 		return leverfeed.Batch[*leverdirectory.Config]{}, err
 	}
-	return c.batch(&found, false)
+	return c.batch(&found), nil
 }
 
-func (c *configs) batch(found *leverstore.Changes, all bool) (leverfeed.Batch[*leverdirectory.Config], error) {
-	out := leverfeed.Batch[*leverdirectory.Config]{Revision: leverfeed.Revision(found.Revision)}
+// present returns the objects in force.
+func (c *configs) present() objects {
 	present := c.store.Present()
-	old := objects{}
-	if present != nil {
-		var err error
-		if old, err = attached(present); err != nil {
-			return out, err
-		}
+	if present == nil {
+		return nil
 	}
-	next := c.apply(old, found, all)
-	config := present
-	if present == nil || !maps.EqualFunc(old, next, func(a, b object) bool { return a.Revision == b.Revision }) {
-		var err error
-		if config, err = next.config(leverid.ConfigVersion(found.Revision)); err != nil {
-			return out, err
-		}
+	o, err := attached(present)
+	if err != nil {
+		c.store.Log.Error("the objects in force can't be read", "version", present.Version, "err", err)
 	}
-	out.Items = append(out.Items, leverfeed.Item[*leverdirectory.Config]{Name: configName, Value: config})
-	return out, nil
+	return o
 }
 
-// apply returns the objects after what was found; all says that these are all
-// there are.
-func (c *configs) apply(old objects, found *leverstore.Changes, all bool) objects {
-	next := maps.Clone(old)
-	there := make(map[leverid.ObjectKey]bool)
+// batch turns what was found into items. An object that is older than the one in
+// force, as an old read gives it, or that is not valid, takes nothing back.
+func (c *configs) batch(found *leverstore.Changes) leverfeed.Batch[*leverdirectory.Config] {
+	out := leverfeed.Batch[*leverdirectory.Config]{Revision: leverfeed.Revision(found.Revision)}
+	present := c.present()
 	for _, f := range found.Objects {
-		there[f.Key] = !f.Deleted
-		o := object{Key: f.Key, Revision: f.Revision, Value: f.Value}
-		if f.Deleted || o.Revision <= old[f.Key].Revision {
-			continue
-		}
-		if err := check(o, old[f.Key].Value); err != nil {
-			c.store.Log.Error("an object can't be taken in; the last one stays in force", "key", f.Key, "revision", f.Revision, "err", err)
-			continue
+		o, old := object{Key: f.Key, Revision: f.Revision, Value: f.Value}, present[f.Key]
+		switch {
+		case f.Deleted && f.Key == leverstore.ConfigKey:
+			c.store.Log.Warn("the document was deleted; the last one stays in force")
+		case f.Deleted:
+			out.Items = append(out.Items, leverfeed.Item[*leverdirectory.Config]{Name: string(f.Key), Gone: true})
+		default:
+			if err := check(o, old); err != nil {
+				c.store.Log.Error("an object can't be taken in; the last one stays in force", "key", f.Key, "revision", f.Revision, "err", err)
+				o = old
+			}
+			if o.Key != "" {
+				out.Items = append(out.Items, item(o))
+			}
 		}
-		next[f.Key] = o
 	}
-	for key := range old {
-		present, said := there[key]
-		if key != leverstore.ConfigKey && !present && (all || said) {
-			delete(next, key)
-		}
+	return out
+}
+
+func item(o object) leverfeed.Item[*leverdirectory.Config] {
+	// Texts and numbers: encoding can't fail.
+	b, _ := msgpack.Marshal([]object{o})
+	return leverfeed.Item[*leverdirectory.Config]{
+		Name: string(o.Key), Value: &leverdirectory.Config{Version: leverid.ConfigVersion(o.Revision), Attachment: b},
 	}
-	return next
 }
 
 // upstreams lists the replicas that the indexes name. It is used by one
--- a/internal/leverdirectory/directory.go
+++ b/internal/leverdirectory/directory.go
@@ -81,11 +81,27 @@
 		d.mu.Unlock()
 		return false
 	}
+	d.putConfig(c)
+	return true
+}
+
+// ReplaceConfig puts a configuration in force that was made of parts, each of
+// which never goes back. Its version is at least the present one.
+func (d *Directory) ReplaceConfig(c *Config) {
+	d.mu.Lock()
+	if old := d.View().Config; old != nil {
+		c.Version = max(c.Version, old.Version)
+	}
+	d.putConfig(c)
+}
+
+// putConfig is called with the lock held and releases it.
+func (d *Directory) putConfig(c *Config) {
+	old := d.View()
 	c.index()
 	next := *old
 	next.Config = c
 	d.swap(&next)
-	return true
 }
 
 // SetUpstreams replaces the list of upstreams.
--- a/internal/leverkernel/node.go
+++ b/internal/leverkernel/node.go
@@ -82,7 +82,7 @@
 	n.node = levernode.New(levernode.Options{
 		Self: o.Self, Seeds: o.Seeds, PeerKeys: o.PeerKeys, TLS: o.TLS, Dial: o.Dial, Log: o.Log,
 		Store:    &levercatalog.Store{Objects: n.store, Log: o.Log.For("catalog"), Present: n.present},
-		Protocol: leverupstream.Protocol{}, Terms: terms(&sys), Requests: &handler{node: n}, OnConfig: n.install,
+		Protocol: leverupstream.Protocol{}, Terms: terms(&sys), Requests: &handler{node: n}, Compose: levercatalog.Compose, OnConfig: n.install,
 		MostConnections: o.MostConnections,
 		Homes:           func() bool { return n.Document().System.Routing == leverconfig.Homes },
 	})
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -100,7 +100,11 @@
 	// Requests serves the kinds of peer request that the node itself does not
 	// know; it may be nil.
 	Requests leverpeer.Handler
-	// OnConfig, if set, is called when a configuration has come into force.
+	// Compose, if set, makes one configuration of the store's items; otherwise
+	// each of them is one.
+	Compose func([]*leverdirectory.Config) (*leverdirectory.Config, error)
+	// OnConfig, if set, is called when a configuration of Compose has come into
+	// force.
 	OnConfig func(*leverdirectory.Config)
 	Log      leverlog.Logger
 	Metrics  *levermetric.Set
@@ -285,16 +289,30 @@
 func (n *Node) storeCurrent() bool { return n.configs.Current() && n.upstreams.Current() }
 
 func (n *Node) takeConfigs(list []*leverdirectory.Config) {
+	if n.opts.Compose != nil {
+		n.composeConfig(list)
+		return
+	}
 	for _, c := range list {
 		if n.engine.Directory.SetConfig(c) {
-			if n.opts.OnConfig != nil {
-				n.opts.OnConfig(c)
-			}
 			n.log.Info("a configuration is in force", "version", c.Version, "routes", len(c.Routes))
 		}
 	}
 }
 
+func (n *Node) composeConfig(list []*leverdirectory.Config) {
+	c, err := n.opts.Compose(list)
+	if err != nil {
+		n.log.Error("no configuration can be made of the store's objects; the last one stays", "objects", len(list), "err", err)
+		return
+	}
+	n.engine.Directory.ReplaceConfig(c)
+	n.log.Info("a configuration is in force", "version", c.Version, "routes", len(c.Routes))
+	if n.opts.OnConfig != nil {
+		n.opts.OnConfig(c)
+	}
+}
+
 func (n *Node) takeVMs(list []levermsg.VM) {
 	own := false
 	for i := range list {
