--- a/internal/leverfeed/follower.go
+++ b/internal/leverfeed/follower.go
@@ -89,8 +89,9 @@
 	// OnLost, if set, is called when the store has dropped the history. Other
 	// followers' watches may then hear nothing either.
 	OnLost func()
-	// OnFailed, if set, is called when the store is not in touch any more.
-	OnFailed func()
+	// OnFailed, if set, is called when the store is not in touch any more, and
+	// OnBack when it is again.
+	OnFailed, OnBack func()
 
 	mu     sync.Mutex
 	lost   bool
@@ -346,5 +347,8 @@
 	f.pause = 0
 	if back {
 		f.Log.Info("the store is back", "collection", f.Name, "revision", f.revision)
+		if f.OnBack != nil {
+			f.OnBack()
+		}
 	}
 }
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -231,7 +231,7 @@
 	n.configs = &leverfeed.Follower[*leverdirectory.Config]{
 		Name: "configuration", Source: o.Store.Configs(), Timer: n.timer, Log: log, Pace: feedPace, Wait: configWait, Grace: configGrace,
 		MaxPause: func() time.Duration { return n.maxPause(configsPause) },
-		OnLost:   n.relist, OnFailed: n.doubt, Apply: n.board.SetConfigs,
+		OnLost:   n.relist, OnFailed: n.storeLost, OnBack: n.storeBack, Apply: n.board.SetConfigs,
 	}
 	n.upstreams = &leverfeed.Follower[leverdirectory.Upstream]{
 		Name: "upstreams", Source: o.Store.Upstreams(), Timer: n.timer, Log: log, Pace: feedPace, Hold: lapseHold, Base: n.board.Upstreams,
@@ -265,6 +265,13 @@
 	n.vms.Relist()
 }
 
+func (n *Node) storeLost() {
+	n.events.Add(leverevent.StoreDown, string(n.opts.Self.ID), "")
+	n.doubt()
+}
+
+func (n *Node) storeBack() { n.events.Add(leverevent.StoreUp, string(n.opts.Self.ID), "") }
+
 // doubt follows an outage.
 func (n *Node) doubt() {
 	n.upstreams.Doubt()
--- a/internal/leversession/session_test.go
+++ b/internal/leversession/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -69,26 +70,38 @@
 	if err := os.Mkdir(s.dir, 0o755); err != nil {
 		return err
 	}
-	port, err := leverport.Free(0, 1, 2, 3, 4, 5, 6, 200, 201, 202, 203)
-	if err != nil {
-		return err
-	}
-	s.port = port
 	env.Defer(s.end)
 	env.Values[systemKey{}] = s
 	env.Setenv("PATH", binaries+string(os.PathListSeparator)+env.Getenv("PATH"))
 	env.Setenv("ARBUTUS_KEY", "operator-key-for-trials-only")
-	env.Setenv("ARBUTUS_VM", s.address(1)+","+s.address(2)+","+s.address(3))
-	for i := 1; i <= vms; i++ {
-		env.Setenv(fmt.Sprint("VM", i), s.address(i))
-	}
 	env.Setenv("USER", "ops")
-	return s.begin()
+	for try := 0; ; try++ {
+		err := s.begin(env)
+		if !errors.Is(err, errPortTaken) || try == setupTries {
+			return err
+		}
+		// Another process took a port before it was used.
+		s.end()
+	}
 }
 
+// setupTries bounds how often a session is set up anew on other ports.
+const setupTries = 5
+
+var errPortTaken = errors.New("a port was taken")
+
 func (s *system) address(vm int) string { return fmt.Sprintf("127.0.0.1:%d", s.port+2*vm-1) }
 
-func (s *system) begin() error {
+func (s *system) begin(env *testscript.Env) error {
+	port, err := leverport.Free(0, 1, 2, 3, 4, 5, 6, 200, 201, 202, 203)
+	if err != nil {
+		return err
+	}
+	s.port = port
+	env.Setenv("ARBUTUS_VM", s.address(1)+","+s.address(2)+","+s.address(3))
+	for i := 1; i <= vms; i++ {
+		env.Setenv(fmt.Sprint("VM", i), s.address(i))
+	}
 	plan := exec.Command(filepath.Join(binaries, "leverstandin"), "plan", "--dir", s.dir, "--app", "portal",
 		"--scale", "1", "--vms", fmt.Sprint(vms), "--port", fmt.Sprint(s.port))
 	out, err := plan.Output()
@@ -134,6 +147,17 @@
 	return s.start(name, "arbutuslever", "--settings", name+".json")
 }
 
+// logs returns what the processes have logged.
+func (s *system) logs() string {
+	var b strings.Builder
+	for name := range s.procs {
+		// A log that can't be read says nothing more.
+		text, _ := os.ReadFile(filepath.Join(s.dir, name+".log"))
+		b.Write(text)
+	}
+	return b.String()
+}
+
 func (s *system) awaitReady(i int) error {
 	for range 300 {
 		r, err := http.Get("http://" + s.address(i) + "/v1/ready")
@@ -143,9 +167,14 @@
 				return nil
 			}
 		}
+		if strings.Contains(s.logs(), "address already in use") {
+			return errPortTaken
+		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	return fmt.Errorf("vm-%d is not ready", i)
+	// A log that can't be read says nothing more.
+	text, _ := os.ReadFile(filepath.Join(s.dir, fmt.Sprintf("vm-%d.log", i)))
+	return fmt.Errorf("vm-%d is not ready; its log:\n%s", i, text)
 }
 
 // end kills what is left of the session's own processes.
