--- a/internal/leverengine/send.go
+++ b/internal/leverengine/send.go
@@ -20,12 +20,12 @@
 	Send(t leverpool.Target, call *leverpool.Call, stamp func() http.Header, accept func(*http.Response) error, done func(*leverpool.Reply, error)) Exchange
 }
 
-// Direct sends calls over this VM's own connections.
-type Direct struct{ Pool *leverpool.Pool }
+// direct sends calls over this VM's own connections.
+type direct struct{ pool *leverpool.Pool }
 
 // Send sends a call.
-func (d Direct) Send(t leverpool.Target, call *leverpool.Call, stamp func() http.Header, accept func(*http.Response) error, done func(*leverpool.Reply, error)) Exchange {
-	return d.Pool.Send(t, call, stamp, accept, done)
+func (d direct) Send(t leverpool.Target, call *leverpool.Call, stamp func() http.Header, accept func(*http.Response) error, done func(*leverpool.Reply, error)) Exchange {
+	return d.pool.Send(t, call, stamp, accept, done)
 }
 
 // sender returns what sends calls: the pool itself unless it was replaced.
@@ -33,5 +33,5 @@
 	if e.Sender != nil {
 		return e.Sender
 	}
-	return Direct{e.Pool}
+	return direct{e.Pool}
 }
--- a/internal/leverhome/queue.go
+++ b/internal/leverhome/queue.go
@@ -148,8 +148,9 @@
 	}
 }
 
-func (q *queue) idle() bool {
+// calls returns the number of calls that wait or run.
+func (q *queue) calls() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.busy == 0 && q.waiting.Total() == 0
+	return q.busy + q.waiting.Total()
 }
--- a/internal/leverhome/sender.go
+++ b/internal/leverhome/sender.go
@@ -11,7 +11,6 @@
 	"arbutuslever.dev/lever/internal/leverdirectory"
 	"arbutuslever.dev/lever/internal/leverengine"
 	"arbutuslever.dev/lever/internal/leverid"
-	"arbutuslever.dev/lever/internal/leverlog"
 	"arbutuslever.dev/lever/internal/levermember"
 	"arbutuslever.dev/lever/internal/levermsg"
 	"arbutuslever.dev/lever/internal/leverpeer"
@@ -28,7 +27,6 @@
 	Pool     *leverpool.Pool
 	Protocol leverengine.Protocol
 	Timer    *levertimer.Service
-	Log      leverlog.Logger
 	// Homes reports whether calls go through homes; otherwise each VM calls
 	// upstreams itself.
 	Homes func() bool
@@ -95,12 +93,23 @@
 	return q
 }
 
+// Busy returns the number of calls that wait or run on this VM.
+func (s *Sender) Busy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, q := range s.queues {
+		n += q.calls()
+	}
+	return n
+}
+
 // Retain forgets the queues of upstreams that known refuses and that are empty.
 func (s *Sender) Retain(known func(leverdirectory.Key) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for k, q := range s.queues {
-		if !known(k) && q.idle() {
+		if !known(k) && q.calls() == 0 {
 			delete(s.queues, k)
 		}
 	}
--- a/internal/levermerge/merge.go
+++ b/internal/levermerge/merge.go
@@ -1,5 +1,5 @@
 // Package levermerge merges the records of shards into one answer. The merge
-// is associative and commutative, so that homes may merge a part first.
+// is associative and commutative, so that the order of the parts does not matter.
 package levermerge
 
 import (
--- a/internal/levermerge/merge_test.go
+++ b/internal/levermerge/merge_test.go
@@ -19,8 +19,8 @@
 	}
 }
 
-// TestMergeOrderDoesNotMatter merges parts in two orders and in groups, as homes
-// do: the page is the same, and no key comes twice.
+// TestMergeOrderDoesNotMatter merges parts in two orders and in groups: the
+// page is the same, and no key comes twice.
 func TestMergeOrderDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var parts [][]levermsg.Record
@@ -49,7 +49,7 @@
 		for _, g := range []*levermerge.Set{&first, &second} {
 			cut := limit
 			if cut > 0 {
-				cut++ // a home keeps one record more
+				cut++ // a group keeps one record more
 			}
 			page, _ := g.Page(cut)
 			grouped.Add(page)
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -207,7 +207,7 @@
 	}
 	n.homes = &leverhome.Sender{
 		Self: o.Self.ID, Members: n.members, Peers: n.runs, Pool: n.engine.Pool, Protocol: o.Protocol,
-		Timer: n.timer, Log: o.Log.For("home"), Homes: o.Homes, Connections: n.homeConnections,
+		Timer: n.timer, Homes: o.Homes, Connections: n.homeConnections,
 	}
 	n.engine.Sender = n.homes
 }
@@ -480,9 +480,14 @@
 	n.members.LeaveSelf()
 }
 
-// Busy returns the number of requests that are being run, those of other VMs
-// included.
-func (n *Node) Busy() int { return n.engine.InFlight() }
+// Busy returns the number of requests that are being run, those of other VMs and
+// their calls included.
+func (n *Node) Busy() int {
+	if n.homes == nil {
+		return n.engine.InFlight()
+	}
+	return n.engine.InFlight() + n.homes.Busy()
+}
 
 // Stop ends what Start began.
 func (n *Node) Stop() {
