--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -329,8 +329,9 @@
 	case leverhealth.Reset:
 		p.resets++
 	case leverhealth.Shed:
-		// An upstream may refuse for other reasons than the load; a home does not.
-		if errors.Is(r.err, leverpool.ErrNoRoom) {
+		// An upstream may refuse for other reasons than the load; the homes of two
+		// replicas do not.
+		if errors.Is(r.err, leverpool.ErrNoRoom) && p.declined > 1 {
 			f.room.Refuse(f.engine.Timer.Now())
 		}
 	}
