--- a/internal/levercatalog/catalog.go
+++ b/internal/levercatalog/catalog.go
@@ -4,7 +4,6 @@
 package levercatalog
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -36,6 +35,8 @@
 	Stored   *leverconfig.Stored
 	Document *leverconfig.Document
 	Indexes  []*leversnapshot.Index
+
+	objects objects
 }
 
 // Empty returns the contents before anything is known: all defaults and no
@@ -48,30 +49,10 @@
 	return &Contents{Stored: &leverconfig.Stored{}, Document: doc}
 }
 
-// Open reads the contents of a configuration that this package made.
-func Open(c *leverdirectory.Config) (*Contents, error) {
-	o, err := attached(c)
-	if err != nil {
-		return nil, err
-	}
-	return o.contents()
-}
-
-func attached(c *leverdirectory.Config) (objects, error) {
-	var list []object
-	if err := msgpack.Unmarshal(c.Attachment, &list); err != nil {
-		return nil, errors.Annotate(err, "objects of a configuration")
-	}
-	o := make(objects, len(list))
-	for _, one := range list {
-		o[one.Key] = one
-	}
-	return o, nil
-}
-
 // contents reads the objects, each of which was checked before it was taken in.
 func (o objects) contents() (*Contents, error) {
 	out := Empty()
+	out.objects = o
 	for _, key := range slices.Sorted(maps.Keys(o)) {
 		if key == leverstore.ConfigKey {
 			stored, err := leverconfig.ParseStored(o[key].Value)
@@ -94,20 +75,24 @@
 	return out, nil
 }
 
-// Compose makes the configuration of the objects that Store.Configs gave. Its
-// version is the newest revision of an object.
-func Compose(parts []*leverdirectory.Config) (*leverdirectory.Config, error) {
+// Compose makes the configuration of the objects that Store.Configs gave, and
+// returns what it was made of. Its version is the newest revision of an object.
+func Compose(parts []*leverdirectory.Config) (*leverdirectory.Config, *Contents, error) {
 	all := make(objects, len(parts))
 	var newest leverid.ConfigVersion
 	for _, p := range parts {
-		o, err := attached(p)
-		if err != nil {
-			return nil, err
+		var o object
+		if err := msgpack.Unmarshal(p.Attachment, &o); err != nil {
+			return nil, nil, errors.Annotate(err, "object of a configuration")
 		}
-		maps.Copy(all, o)
+		all[o.Key] = o
 		newest = max(newest, p.Version)
 	}
-	return all.config(newest)
+	in, err := all.contents()
+	if err != nil {
+		return nil, nil, err
+	}
+	return in.config(newest), in, nil
 }
 
 // check reports why an object can't replace the one before it.
@@ -148,12 +133,8 @@
 	return nil
 }
 
-// config makes the configuration of a version from its objects.
-func (o objects) config(v leverid.ConfigVersion) (*leverdirectory.Config, error) {
-	in, err := o.contents()
-	if err != nil {
-		return nil, err
-	}
+// config makes the configuration of a version.
+func (in *Contents) config(v leverid.ConfigVersion) *leverdirectory.Config {
 	c := &leverdirectory.Config{Version: v, Services: make(map[leverid.ServiceID]leverdirectory.Service)}
 	for _, x := range in.Indexes {
 		set := in.Document.Service(x.Service)
@@ -164,9 +145,7 @@
 			}
 		}
 	}
-	list := slices.SortedFunc(maps.Values(o), func(a, b object) int { return cmp.Compare(a.Key, b.Key) })
-	c.Attachment, err = msgpack.Marshal(list)
-	return c, errors.Trace(err)
+	return c
 }
 
 // Prefix is what the paths of the queries of one index version begin with; their
--- a/internal/levercatalog/source.go
+++ b/internal/levercatalog/source.go
@@ -21,8 +21,8 @@
 type Store struct {
 	Objects leverstore.Store
 	Log     leverlog.Logger
-	// Present returns the configuration in force, or nil.
-	Present func() *leverdirectory.Config
+	// Present returns the contents in force.
+	Present func() *Contents
 }
 
 // Register does nothing: the platform itself lists the VMs.
@@ -52,11 +52,10 @@
 		return leverfeed.Batch[*leverdirectory.Config]{}, err
 	}
 	out := c.batch(&found)
-	for key, o := range c.present() {
-		// The document stays in force also if it is deleted.
-		if key == leverstore.ConfigKey && !slices.ContainsFunc(found.Objects, func(f leverstore.Object) bool { return f.Key == key }) {
-			out.Items = append(out.Items, item(o))
-		}
+	// The document stays in force also if it is deleted.
+	last, ok := c.store.Present().objects[leverstore.ConfigKey]
+	if ok && !slices.ContainsFunc(found.Objects, func(f leverstore.Object) bool { return f.Key == last.Key }) {
+		out.Items = append(out.Items, item(last))
 	}
 	return out, nil
 }
@@ -70,24 +69,11 @@
 	return c.batch(&found), nil
 }
 
-// present returns the objects in force.
-func (c *configs) present() objects {
-	present := c.store.Present()
-	if present == nil {
-		return nil
-	}
-	o, err := attached(present)
-	if err != nil {
-		c.store.Log.Error("the objects in force can't be read", "version", present.Version, "err", err)
-	}
-	return o
-}
-
 // batch turns what was found into items. An object that is older than the one in
 // force, as an old read gives it, or that is not valid, takes nothing back.
 func (c *configs) batch(found *leverstore.Changes) leverfeed.Batch[*leverdirectory.Config] {
 	out := leverfeed.Batch[*leverdirectory.Config]{Revision: leverfeed.Revision(found.Revision)}
-	present := c.present()
+	present := c.store.Present().objects
 	for _, f := range found.Objects {
 		o, old := object{Key: f.Key, Revision: f.Revision, Value: f.Value}, present[f.Key]
 		switch {
@@ -110,7 +96,7 @@
 
 func item(o object) leverfeed.Item[*leverdirectory.Config] {
 	// Texts and numbers: encoding can't fail.
-	b, _ := msgpack.Marshal([]object{o})
+	b, _ := msgpack.Marshal(&o)
 	return leverfeed.Item[*leverdirectory.Config]{
 		Name: string(o.Key), Value: &leverdirectory.Config{Version: leverid.ConfigVersion(o.Revision), Attachment: b},
 	}
--- a/internal/levercatalog/source_test.go
+++ b/internal/levercatalog/source_test.go
@@ -44,18 +44,19 @@
 type follower struct {
 	is      *is.I
 	memory  *leverplatform.Memory
-	present *leverdirectory.Config
+	present *levercatalog.Contents
+	config  *leverdirectory.Config
 	source  leverfeed.Source[*leverdirectory.Config]
 }
 
 func newFollower(t *testing.T) *follower {
-	f := &follower{is: is.New(t), memory: &leverplatform.Memory{}}
+	f := &follower{is: is.New(t), memory: &leverplatform.Memory{}, present: levercatalog.Empty()}
 	f.source = f.store().Configs()
 	return f
 }
 
 func (f *follower) store() *levercatalog.Store {
-	return &levercatalog.Store{Objects: f.memory, Present: func() *leverdirectory.Config { return f.present }}
+	return &levercatalog.Store{Objects: f.memory, Present: func() *levercatalog.Contents { return f.present }}
 }
 
 func (f *follower) put(key leverid.ObjectKey, value string) {
@@ -76,11 +77,9 @@
 		f.is.True(!it.Gone)
 		parts = append(parts, it.Value)
 	}
-	f.present, err = levercatalog.Compose(parts)
+	f.config, f.present, err = levercatalog.Compose(parts)
 	f.is.NoErr(err)
-	in, err := levercatalog.Open(f.present)
-	f.is.NoErr(err)
-	return in
+	return f.present
 }
 
 func TestRoutes(t *testing.T) {
@@ -89,12 +88,12 @@
 	f.put(leverstore.ConfigKey, `{"version": 2, "document": {"services": {"s": {"least-coverage": 0.75, "on-short": "answer"}}}}`)
 	in := f.read()
 	f.is.Equal(in.Stored.Version, leverid.ConfigVersion(2))
-	f.is.Equal(len(f.present.Routes), 1)
-	r := f.present.Routes[0]
+	f.is.Equal(len(f.config.Routes), 1)
+	r := f.config.Routes[0]
 	f.is.Equal(r.Shards, []leverid.ServiceID{"s/7/0", "s/7/1", "s/7/2"})
 	f.is.Equal(r.LeastCoverage, 0.75)
 	f.is.True(!r.Whole)
-	f.is.Equal(f.present.Services["s/7/0"].MaxConnections, 5) // the least of the replicas
+	f.is.Equal(f.config.Services["s/7/0"].MaxConnections, 5) // the least of the replicas
 }
 
 // TestNothingGoesBack changes the store in each way that must not take anything
@@ -123,13 +122,13 @@
 			f.put(leverstore.ConfigKey, `{"version": 1, "document": {}}`)
 			f.put(leverstore.ConfigKey, second)
 			f.read()
-			version := f.present.Version
+			version := f.config.Version
 			change(f)
 			in := f.read()
 			f.is.Equal(in.Stored.Version, leverid.ConfigVersion(2))
 			f.is.Equal(len(in.Indexes), 1)
 			f.is.Equal(in.Indexes[0].Newest().Version, leverid.IndexVersion(7))
-			f.is.Equal(f.present.Version, version) // nothing new came into force
+			f.is.Equal(f.config.Version, version) // nothing new came into force
 		})
 	}
 }
--- a/internal/leverdirectory/config.go
+++ b/internal/leverdirectory/config.go
@@ -78,7 +78,8 @@
 	Routes   []Route
 	Services map[leverid.ServiceID]Service
 	Limits   Limits
-	// Attachment is what the face that made the configuration needs besides.
+	// Attachment is the object of the store that an item stands for, where one
+	// configuration is made of several.
 	Attachment []byte
 
 	byHost map[string][]*Route
--- a/internal/leverhome/sender.go
+++ b/internal/leverhome/sender.go
@@ -54,21 +54,17 @@
 // home returns the VM through which an upstream is called: one of the upstream's
 // failure domain, or any if there is none.
 func (s *Sender) home(u *leverdirectory.Upstream) (levermsg.VM, bool) {
-	var best levermsg.VM
-	var most uint64
-	near := false
-	for _, vm := range s.Members.Live(s.Timer.Now()) {
-		same := vm.Domain == u.Domain
-		if near && !same {
-			continue
+	live := s.Members.Live(s.Timer.Now())
+	var near []levermsg.VM
+	for _, vm := range live {
+		if vm.Domain == u.Domain {
+			near = append(near, vm)
 		}
-		h := leverid.Hash(string(u.ID), string(vm.ID))
-		if best.ID == "" || same && !near || h > most {
-			best, most = vm, h
-		}
-		near = near || same
 	}
-	return best, best.ID != ""
+	if len(near) == 0 {
+		near = live
+	}
+	return levermember.Owner(string(u.ID), near)
 }
 
 // queueUp hands a call to the queue of its upstream on this VM.
--- a/internal/leverkernel/claim.go
+++ b/internal/leverkernel/claim.go
@@ -5,8 +5,7 @@
 	"fmt"
 
 	"arbutuslever.dev/lever/internal/leverclaim"
-	"arbutuslever.dev/lever/internal/leverid"
-	"arbutuslever.dev/lever/internal/levermsg"
+	"arbutuslever.dev/lever/internal/levermember"
 	"arbutuslever.dev/lever/internal/leverpeer"
 	"arbutuslever.dev/lever/internal/leverstore"
 
@@ -67,7 +66,7 @@
 func (c *claims) send(ctx context.Context, kind leverpeer.Kind, m claimMessage, local ledgerCall) error {
 	n := c.node
 	key := fmt.Sprintf("claim-range-%d", leverclaim.RangeOf(m.ID))
-	vm, ok := owner(key, n.Members().Live(n.Timer().Now()))
+	vm, ok := levermember.Owner(key, n.Members().Live(n.Timer().Now()))
 	if !ok || vm.ID == n.opts.Self.ID {
 		return local(ctx, m.ID, m.Nonce)
 	}
@@ -83,16 +82,3 @@
 	n.Counters().Add("claim-home-lost", 1)
 	return local(ctx, m.ID, m.Nonce)
 }
-
-// owner returns the VM that has the highest hash with a key, so that the loss of
-// one VM moves only its own keys.
-func owner(key string, vms []levermsg.VM) (levermsg.VM, bool) {
-	var best levermsg.VM
-	var most uint64
-	for _, vm := range vms {
-		if h := leverid.Hash(key, string(vm.ID)); best.ID == "" || h > most {
-			best, most = vm, h
-		}
-	}
-	return best, best.ID != ""
-}
--- a/internal/leverkernel/node.go
+++ b/internal/leverkernel/node.go
@@ -63,6 +63,9 @@
 	engine     *leverquery.Engine
 
 	contents atomic.Pointer[levercatalog.Contents]
+	// composed is what the configuration that comes into force was made of. Only
+	// compose and install use it, which the node calls one after the other.
+	composed *levercatalog.Contents
 	started  time.Time
 	leaving  atomic.Bool
 	wasReady atomic.Bool
@@ -81,8 +84,8 @@
 	n.claimStore = leverstore.NewLimited(o.Store, sys.ClaimRate)
 	n.node = levernode.New(levernode.Options{
 		Self: o.Self, Seeds: o.Seeds, PeerKeys: o.PeerKeys, TLS: o.TLS, Dial: o.Dial, Log: o.Log,
-		Store:    &levercatalog.Store{Objects: n.store, Log: o.Log.For("catalog"), Present: n.present},
-		Protocol: leverupstream.Protocol{}, Terms: terms(&sys), Requests: &handler{node: n}, Compose: levercatalog.Compose, OnConfig: n.install,
+		Store:    &levercatalog.Store{Objects: n.store, Log: o.Log.For("catalog"), Present: n.contents.Load},
+		Protocol: leverupstream.Protocol{}, Terms: terms(&sys), Requests: &handler{node: n}, Compose: n.compose, OnConfig: n.install,
 		MostConnections: o.MostConnections,
 		Homes:           func() bool { return n.Document().System.Routing == leverconfig.Homes },
 	})
@@ -108,15 +111,15 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-func (n *Node) present() *leverdirectory.Config { return n.node.Engine().Directory.View().Config }
+func (n *Node) compose(parts []*leverdirectory.Config) (*leverdirectory.Config, error) {
+	c, in, err := levercatalog.Compose(parts)
+	n.composed = in
+	return c, err
+}
 
-// install takes in a configuration that has come into force.
-func (n *Node) install(c *leverdirectory.Config) {
-	next, err := levercatalog.Open(c)
-	if err != nil {
-		n.log.Error("a configuration's objects can't be read; the settings before stay", "version", c.Version, "err", err)
-		return
-	}
+// install takes in the contents of a configuration that has come into force.
+func (n *Node) install() {
+	next := n.composed
 	old := n.contents.Swap(next)
 	n.installIndexes(old, next)
 	if next.Stored.Version == old.Stored.Version {
--- /dev/null
+++ b/internal/levermember/owner_test.go
@@ -0,0 +1,39 @@
+package levermember_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"arbutuslever.dev/lever/internal/leverid"
+	"arbutuslever.dev/lever/internal/levermember"
+	"arbutuslever.dev/lever/internal/levermsg"
+
+	"github.com/matryer/is"
+)
+
+// TestOwnerMovesOnlyItsKeys takes one of seven VMs away: the keys of the others
+// stay where they are, in whatever order the VMs are listed.
+func TestOwnerMovesOnlyItsKeys(t *testing.T) {
+	is := is.New(t)
+	_, ok := levermember.Owner("key", nil)
+	is.True(!ok)
+	var vms []levermsg.VM
+	for i := range 7 {
+		vms = append(vms, levermsg.VM{ID: leverid.VMID(fmt.Sprint("vm-", i))})
+	}
+	fewer := slices.Clone(vms[1:])
+	slices.Reverse(fewer)
+	moved := 0
+	for i := range 700 {
+		key := fmt.Sprint("key-", i)
+		before, _ := levermember.Owner(key, vms)
+		after, _ := levermember.Owner(key, fewer)
+		if before.ID == vms[0].ID {
+			moved++
+			continue
+		}
+		is.Equal(before, after)
+	}
+	is.True(moved > 50 && moved < 150) // about a seventh
+}
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -3,11 +3,9 @@
 package levernode
 
 import (
-	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -32,46 +30,10 @@
 )
 
 const (
-	// feedPace is the pause between two watches.
-	feedPace = 300 * time.Millisecond
-	// configWait bounds a watch of the configuration. When the store drops its
-	// history, a watch may hear nothing until it ends; this one finds out, well
-	// within the 3 s in which a change is due, and has the others listed anew.
-	configWait = time.Second
-	// configGrace is how much longer such a watch may take: a VM that is cut
-	// off from the store finds out by it, and another one takes over.
-	configGrace = 600 * time.Millisecond
-	// lapseHold is how long the entries of upstreams that are missing after an
-	// outage are kept; they are back within about two seconds.
-	lapseHold = 2200 * time.Millisecond
-	// outageDoubt is how long a VM may have been without a way to the store and
-	// still take what is missing there for gone at once.
-	outageDoubt = 600 * time.Millisecond
-	// upstreamsPause bounds the pause between failed reads of the upstreams'
-	// entries: with the hold after it, what is gone for good is dropped within
-	// the 3 s in which an upstream that leaves must get nothing new.
-	upstreamsPause = 350 * time.Millisecond
-	// configsPause and vmsPause bound the same pauses for the other collections.
-	configsPause = time.Second
-	vmsPause     = 3 * time.Second
-	// orphanPause, and orphanSpread for each VM of the fleet, bound the pauses
-	// of a VM that is not one of those that watch for all: in an outage of the
-	// store it asks only to learn that it alone was cut off from the others.
-	orphanPause  = 2 * time.Second
-	orphanSpread = 40 * time.Millisecond
-	// registerPause is the pause before the VM's own entry is written again.
-	registerPause = time.Second
 	// relayQuiet and relayDead bound the silence of a parent in the relay: a
 	// dead one is replaced well before a change is due.
 	relayQuiet = 400 * time.Millisecond
 	relayDead  = time.Second
-	// probePeriod is how often peers that count as down are asked.
-	probePeriod = 500 * time.Millisecond
-	// probeTimeout bounds such a question.
-	probeTimeout = 300 * time.Millisecond
-	// goneAfter is how long a VM must have been silent before its entry in the
-	// store is removed.
-	goneAfter = 2 * time.Minute
 	// unknownShare is this VM's part of what is shared while it knows no other.
 	unknownShare = 0.1
 )
@@ -105,7 +67,7 @@
 	Compose func([]*leverdirectory.Config) (*leverdirectory.Config, error)
 	// OnConfig, if set, is called when a configuration of Compose has come into
 	// force.
-	OnConfig func(*leverdirectory.Config)
+	OnConfig func()
 	Log      leverlog.Logger
 	Metrics  *levermetric.Set
 	// MostInFlight bounds the requests that are run at a time, 0 for no bound.
@@ -225,120 +187,6 @@
 	return max(int(homePart*float64(c.Services[s].MaxConnections)), 1)
 }
 
-func (n *Node) feeds() {
-	o := n.opts
-	log := o.Log.For("feed")
-	n.configs = &leverfeed.Follower[*leverdirectory.Config]{
-		Name: "configuration", Source: o.Store.Configs(), Timer: n.timer, Log: log, Pace: feedPace, Wait: configWait, Grace: configGrace,
-		MaxPause: func() time.Duration { return n.maxPause(configsPause) },
-		OnLost:   n.relist, OnFailed: n.storeLost, OnBack: n.storeBack, Apply: n.board.SetConfigs,
-	}
-	n.upstreams = &leverfeed.Follower[leverdirectory.Upstream]{
-		Name: "upstreams", Source: o.Store.Upstreams(), Timer: n.timer, Log: log, Pace: feedPace, Hold: lapseHold, Base: n.board.Upstreams,
-		Apply: n.board.SetUpstreams, MaxPause: func() time.Duration { return n.maxPause(upstreamsPause) },
-	}
-	n.vms = &leverfeed.Follower[levermsg.VM]{
-		Name: "vms", Source: o.Store.VMs(), Timer: n.timer, Log: log, Pace: feedPace, Apply: n.board.SetVMs,
-		MaxPause: func() time.Duration { return n.maxPause(vmsPause) },
-	}
-}
-
-// maxPause returns the bound of the pauses between failed calls of the store.
-func (n *Node) maxPause(watcher time.Duration) time.Duration {
-	if n.relay.IsWatcher() {
-		return watcher
-	}
-	return max(orphanPause, time.Duration(len(n.members.List()))*orphanSpread)
-}
-
-// changed follows the directory.
-func (n *Node) changed(v *leverdirectory.View) {
-	n.engine.Changed(v)
-	if n.homes != nil {
-		n.homes.Retain(v.Known)
-	}
-}
-
-// relist follows a lost history: the other watches may hear nothing either.
-func (n *Node) relist() {
-	n.upstreams.Relist()
-	n.vms.Relist()
-}
-
-func (n *Node) storeLost() {
-	n.events.Add(leverevent.StoreDown, string(n.opts.Self.ID), "")
-	n.doubt()
-}
-
-func (n *Node) storeBack() { n.events.Add(leverevent.StoreUp, string(n.opts.Self.ID), "") }
-
-// doubt follows an outage.
-func (n *Node) doubt() {
-	n.upstreams.Doubt()
-	n.vms.Doubt()
-}
-
-// watch watches the store until ctx ends.
-func (n *Node) watch(ctx context.Context) {
-	if n.relay.Orphaned() > outageDoubt {
-		// The store may have been away; a VM that stands by asks sooner.
-		n.doubt()
-	}
-	go n.runConfigs(ctx)
-	go n.runVMs(ctx)
-	n.upstreams.Run(ctx)
-}
-
-func (n *Node) runConfigs(ctx context.Context) { n.configs.Run(ctx) }
-
-func (n *Node) runVMs(ctx context.Context) { n.vms.Run(ctx) }
-
-func (n *Node) storeCurrent() bool { return n.configs.Current() && n.upstreams.Current() }
-
-func (n *Node) takeConfigs(list []*leverdirectory.Config) {
-	if n.opts.Compose != nil {
-		n.composeConfig(list)
-		return
-	}
-	for _, c := range list {
-		if n.engine.Directory.SetConfig(c) {
-			n.log.Info("a configuration is in force", "version", c.Version, "routes", len(c.Routes))
-		}
-	}
-}
-
-func (n *Node) composeConfig(list []*leverdirectory.Config) {
-	c, err := n.opts.Compose(list)
-	if err != nil {
-		n.log.Error("no configuration can be made of the store's objects; the last one stays", "objects", len(list), "err", err)
-		return
-	}
-	n.engine.Directory.ReplaceConfig(c)
-	n.log.Info("a configuration is in force", "version", c.Version, "routes", len(c.Routes))
-	if n.opts.OnConfig != nil {
-		n.opts.OnConfig(c)
-	}
-}
-
-func (n *Node) takeVMs(list []levermsg.VM) {
-	own := false
-	for i := range list {
-		list[i].State = cmp.Or(list[i].State, levermsg.Live)
-		own = own || list[i].ID == n.opts.Self.ID
-	}
-	if n.members.SetList(list) {
-		n.log.Info("the list of VMs has changed", "vms", len(list))
-		n.events.Add(leverevent.ListChanged, strconv.Itoa(len(list)), "")
-	}
-	if !own && n.registered.Load() && !n.stopping.Load() {
-		// Another VM took this one for gone.
-		select {
-		case n.register <- struct{}{}:
-		default:
-		}
-	}
-}
-
 // shares returns this VM's part of the upstreams' connections.
 func (n *Node) shares() (fanout, other float64) {
 	listed := len(n.members.List())
@@ -383,119 +231,3 @@
 
 // Stopping reports whether the VM has begun to stop.
 func (n *Node) Stopping() bool { return n.stopping.Load() }
-
-// Start begins to follow the store and to serve peers. It returns at once.
-func (n *Node) Start(peers net.Listener) {
-	n.events.Add(leverevent.Started, string(n.opts.Self.ID), "")
-	n.heard.Store(n.timer.Now().UnixNano())
-	n.budget.Begin(n.timer.Now())
-	ctx, cancel := context.WithCancel(context.Background())
-	n.cancel = cancel
-	n.listener = peers
-	go n.runPeers(peers)
-	go n.runRegister(ctx)
-	go n.runProbes(ctx)
-	go n.runRelay(ctx)
-	go n.runShares(ctx)
-	go n.runCrashes(ctx)
-}
-
-func (n *Node) runRelay(ctx context.Context) { n.relay.Run(ctx) }
-
-func (n *Node) runPeers(ln net.Listener) { n.server.Run(ln) }
-
-// runRegister writes this VM's own entry, and again if it is gone.
-func (n *Node) runRegister(ctx context.Context) {
-	for {
-		if err := n.opts.Store.Register(ctx, n.opts.Self); err != nil {
-			n.log.Warn("this VM's entry could not be written", "err", err)
-			if !n.timer.Sleep(ctx, n.timer.Jitter(registerPause, 0.3)) {
-				return
-			}
-			continue
-		}
-		n.registered.Store(true)
-		select {
-		case <-n.register:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// runShares keeps this VM's part of the slack up to date.
-func (n *Node) runShares(ctx context.Context) {
-	for {
-		fanout, _ := n.shares()
-		n.budget.SetShare(fanout)
-		if !n.timer.Sleep(ctx, probePeriod) {
-			return
-		}
-	}
-}
-
-// runProbes asks the peers that count as down whether they answer again.
-func (n *Node) runProbes(ctx context.Context) {
-	silent := make(map[leverid.VMID]time.Time)
-	for n.timer.Sleep(ctx, probePeriod) {
-		for _, vm := range n.members.Probes(n.timer.Now()) {
-			if n.probe(ctx, vm) {
-				delete(silent, vm.ID)
-				continue
-			}
-			since, ok := silent[vm.ID]
-			if !ok {
-				silent[vm.ID] = n.timer.Now()
-			} else if n.relay.Watches() && n.timer.Now().Sub(since) > goneAfter {
-				n.removeGone(ctx, vm.ID)
-				delete(silent, vm.ID)
-			}
-		}
-	}
-}
-
-func (n *Node) probe(ctx context.Context, vm levermsg.VM) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	if err := n.relays.Ask(ctx, vm, leverpeer.KindPing, nil, nil); err != nil {
-		n.members.Failed(vm.ID, n.timer.Now())
-		return false
-	}
-	return true
-}
-
-// removeGone removes the entry of a VM that has long been silent. If it lives
-// after all, it writes its entry again.
-func (n *Node) removeGone(ctx context.Context, id leverid.VMID) {
-	err := n.opts.Store.Deregister(ctx, id)
-	n.log.Info("the entry of a silent VM is removed", "vm", id, "silent-for", goneAfter, "err", err)
-}
-
-// SetTerms changes the bound of extra attempts.
-func (n *Node) SetTerms(t leverbudget.Terms) { n.budget.SetTerms(t) }
-
-// Leave tells the balancer and the peers that the VM is stopping.
-func (n *Node) Leave() {
-	n.stopping.Store(true)
-	n.members.LeaveSelf()
-}
-
-// Busy returns the number of requests that are being run, those of other VMs and
-// their calls included.
-func (n *Node) Busy() int {
-	if n.homes == nil {
-		return n.engine.InFlight()
-	}
-	return n.engine.InFlight() + n.homes.Busy()
-}
-
-// Stop ends what Start began.
-func (n *Node) Stop() {
-	n.cancel()
-	n.relays.Close()
-	n.runs.Close()
-	// An error means that the listener is closed already.
-	_ = n.listener.Close()
-	n.server.Close()
-	n.engine.Pool.Close()
-}
--- a/internal/leverrank/queue.go
+++ b/internal/leverrank/queue.go
@@ -45,9 +45,6 @@
 	q.length[t.Rank]--
 }
 
-// Len returns the number of tickets of one rank.
-func (q *Queue) Len(r leverid.Rank) int { return q.length[r] }
-
 // Total returns the number of tickets of all ranks.
 func (q *Queue) Total() int {
 	n := 0
