internal/leverdelegate, leverengine: a request that a runner began is never reported as not run

Cause: after a runner was lost, MaybeRan stayed false, so that the native API refused the query as not-run; a VM that ran a request after another one may have begun it refused it as not-run, too (admission, no upstream). Overrides.Shard beyond the shard map ran as a fan-out over all shards. Change: outcomes of lost runners set MaybeRan; a request with prior attempts on other VMs counts as one that may have run; an override of a missing shard is refused before anything is sent.

--- a/internal/leverdelegate/delegate.go
+++ b/internal/leverdelegate/delegate.go
@@ -248,21 +248,27 @@
 			return out, true
 		}
 		if ctx.Err() != nil {
-			return &leverengine.Outcome{Verdict: leverengine.CallerGone}, true
+			return &leverengine.Outcome{Verdict: leverengine.CallerGone, MaybeRan: true, Reason: "the caller left"}, true
 		}
 		d.Log.Info("a runner did not complete a request", "id", req.ID, "runner", vm.ID, "err", err)
 		if errors.Is(err, errRunnerLost) {
-			return &leverengine.Outcome{Verdict: leverengine.MayHaveRun, Reason: err.Error()}, true
+			return mayHaveRun(err), true
 		}
 		if errors.Is(err, errMayHaveStarted) {
 			if req.PriorAttempts++; req.PriorAttempts >= attempts {
-				return &leverengine.Outcome{Verdict: leverengine.MayHaveRun, Reason: err.Error()}, true
+				return mayHaveRun(err), true
 			}
 		}
 	}
 	return nil, false
 }
 
+// mayHaveRun returns the outcome of a request that a runner may have run without
+// delivering its outcome.
+func mayHaveRun(err error) *leverengine.Outcome {
+	return &leverengine.Outcome{Verdict: leverengine.MayHaveRun, MaybeRan: true, Reason: err.Error()}
+}
+
 // candidates returns the runners to try, in order and without those in
 // quarantine. It returns none if this VM is a runner.
 func (d *Delegate) candidates() []levermsg.VM {
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -114,6 +114,9 @@
 	if route == nil {
 		return e.recordUnrouted(req, view, e.unroutable())
 	}
+	if reason := req.Overrides.check(route); reason != "" {
+		return e.recordUnrouted(req, view, &Outcome{Verdict: NotRun, RetryAfter: defaultRetryAfter, Reason: reason})
+	}
 	route = req.Overrides.apply(route)
 	if d != nil && len(route.Shards) > 0 {
 		if out, ok := d.Run(ctx, req, view.Config.Version, route.MaxAttempts); ok {
@@ -125,6 +128,10 @@
 	if out == nil {
 		out = f.runGuarded(ctx)
 	}
+	if out.Verdict == NotRun && f.mayHaveRun {
+		// Another VM may have run the request before this one refused it.
+		out.Verdict = MayHaveRun
+	}
 	f.fillAttempts(out)
 	f.recordEnd(out)
 	return out
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -154,6 +154,7 @@
 func (e *Engine) newFanout(req *Request, v *leverdirectory.View, route *leverdirectory.Route) *fanout {
 	f := &fanout{engine: e, req: req, route: route, version: v.Config.Version, class: leverhealth.Class(route.Name)}
 	f.startTime = e.Timer.Now()
+	f.mayHaveRun = req.PriorAttempts > 0
 	services := route.Shards
 	f.gather = len(services) > 0
 	if !f.gather {
--- a/internal/leverengine/request.go
+++ b/internal/leverengine/request.go
@@ -4,6 +4,7 @@
 package leverengine
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -46,6 +47,15 @@
 	Shard leverid.ShardID `msgpack:"s"`
 }
 
+// check returns why the overrides can't be applied to the route, or "". The shard
+// map that the caller has may be another one than the route's.
+func (o *Overrides) check(r *leverdirectory.Route) string {
+	if o == nil || !o.Once || o.Shard >= 0 && int(o.Shard) < len(r.Shards) {
+		return ""
+	}
+	return fmt.Sprintf("shard %d of route %q does not exist; it has %d shards", o.Shard, r.Name, len(r.Shards))
+}
+
 // apply returns the route with the overrides applied.
 func (o *Overrides) apply(r *leverdirectory.Route) *leverdirectory.Route {
 	if o == nil {
@@ -53,7 +63,7 @@
 	}
 	own := *r
 	own.Rank = o.Rank
-	if o.Once && int(o.Shard) < len(r.Shards) {
+	if o.Once {
 		own.Repeatable = false
 		own.Targets = []leverdirectory.Target{{Service: r.Shards[o.Shard], Weight: 1}}
 		own.Shards = nil
