internal/leverpeer: replies are queued by call, so that none is lost and none blocks the connection

Cause: the reader of a connection handed replies over a channel of 64. When the connection ended meanwhile, the last reply was dropped at random and its call, already removed, never ended; a call that was closed or not read blocked all other calls of the connection. closedUnused was read without its lock. A call id used twice was reported as too many requests.

--- a/internal/leverpeer/conn.go
+++ b/internal/leverpeer/conn.go
@@ -117,13 +117,13 @@
 		delete(c.calls, f.Call)
 	}
 	c.mu.Unlock()
-	if call == nil {
+	if call == nil || call.add(f) {
 		return
 	}
-	select {
-	case call.replies <- f:
-	case <-c.link.done:
-	}
+	c.removeCall(f.Call)
+	call.end(ErrOverflow)
+	// send fails only if the link is closed, which ends the peer's request too.
+	_ = c.link.send(&Frame{Op: opCancel, Call: f.Call})
 }
 
 func (c *clientConn) isClosed() bool {
@@ -150,25 +150,20 @@
 	c.closed = true
 	calls := c.calls
 	c.calls = nil
+	unused := c.closedUnused
 	c.mu.Unlock()
 	if c.link != nil {
 		c.link.close()
 	}
 	for _, call := range calls {
-		close(call.replies)
+		call.end(ErrClosed)
 	}
 	c.client.removeConn(c)
-	if !c.closedUnused {
+	if !unused {
 		c.client.Hooks.PeerUnreachable(c.vm.ID, err)
 	}
 }
 
-// replyBuffer is how many replies of one call are buffered for a slow reader.
-// When it is full, reading from the connection blocks. If a reader stalls for
-// longer than DeadAfter, the connection is closed and the peer reported as
-// unreachable.
-const replyBuffer = 64
-
 func (c *clientConn) call(kind Kind, body []byte) (*Call, error) {
 	c.mu.Lock()
 	if c.closed {
@@ -177,7 +172,7 @@
 	}
 	c.lastID++
 	c.lastUsed = c.client.Timer.Now()
-	call := &Call{conn: c, id: c.lastID, replies: make(chan *Frame, replyBuffer)}
+	call := newCall(c, c.lastID)
 	if c.calls == nil {
 		c.calls = make(map[CallID]*Call)
 	}
--- a/internal/leverpeer/peer_test.go
+++ b/internal/leverpeer/peer_test.go
@@ -198,3 +198,83 @@
 		}
 	})
 }
+
+// TestLastReplyBeforeDisconnect ends the peer's process right after its last
+// reply. The caller must get that reply or an error; it must not wait forever.
+func TestLastReplyBeforeDisconnect(t *testing.T) {
+	for i := range 40 {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			handler := func(r *leverpeer.Request) error {
+				for range 80 {
+					if err := r.Reply("more", false); err != nil {
+						return err
+					}
+				}
+				return r.Reply("last", true)
+			}
+			client, server, _, _ := newPair(handler, "new-key")
+			call, err := client.Call(t.Context(), peerB, leverpeer.KindStatus, nil)
+			is.NoErr(err)
+			time.Sleep(time.Duration(i%3) * time.Millisecond)
+			server.Close()
+			client.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			for {
+				_, last, err := call.Next(ctx)
+				is.True(ctx.Err() == nil) // hangs
+				if err != nil || last {
+					break
+				}
+			}
+			call.Close()
+			time.Sleep(time.Minute)
+		})
+	}
+}
+
+// TestUnreadCallDoesNotBlock leaves the replies of one call unread. Other calls
+// of the connection must go on, and the unread call must end.
+func TestUnreadCallDoesNotBlock(t *testing.T) {
+	for name, closeFirst := range map[string]bool{"unread": false, "closed": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				client, server, _, _ := newPair(func(r *leverpeer.Request) error {
+					if r.Kind == leverpeer.KindStatus {
+						return echo(r)
+					}
+					for r.Ctx.Err() == nil {
+						if err := r.Reply("more", false); err != nil {
+							return err
+						}
+						time.Sleep(time.Millisecond)
+					}
+					return nil
+				}, "new-key")
+				unread, err := client.Call(t.Context(), peerB, leverpeer.KindFollow, nil)
+				is.NoErr(err)
+				if closeFirst {
+					unread.Close()
+				}
+				time.Sleep(5 * time.Second)
+				var answer string
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				is.NoErr(client.Invoke(ctx, peerB, leverpeer.KindStatus, "hello", &answer))
+				is.Equal(answer, "hello")
+				is.Equal(server.InFlight(), 0) // the unread call has ended
+				if !closeFirst {
+					for err == nil {
+						_, _, err = unread.Next(ctx)
+					}
+					is.True(errors.Is(err, leverpeer.ErrOverflow))
+				}
+				client.Close()
+				server.Close()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/internal/leverpeer/server.go
+++ b/internal/leverpeer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -217,23 +218,27 @@
 		Ctx: ctx, From: c.link.peer, Kind: f.Kind, Signals: signals,
 		conn: c, id: f.Call, body: f.Body, cancel: cancel, signals: signals,
 	}
-	if !c.addRequest(r) {
+	if reason := c.addRequest(r); reason != "" {
 		cancel()
-		_ = c.link.send(&Frame{Op: opError, Call: f.Call, Body: []byte("too many requests in flight or repeated call id")})
+		_ = c.link.send(&Frame{Op: opError, Call: f.Call, Body: []byte(reason)})
 		return
 	}
 	go r.run()
 }
 
-func (c *serverConn) addRequest(r *Request) bool {
+// addRequest returns why the request is rejected, or "".
+func (c *serverConn) addRequest(r *Request) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.requests == nil || len(c.requests) >= maxRequests || c.requests[r.id] != nil {
-		return false
+	switch {
+	case c.requests[r.id] != nil:
+		return fmt.Sprintf("call id %d is in use", r.id)
+	case len(c.requests) >= maxRequests:
+		return fmt.Sprintf("too many requests in flight on the connection: %d", len(c.requests))
 	}
 	c.requests[r.id] = r
 	c.wg.Add(1)
-	return true
+	return ""
 }
 
 func (c *serverConn) inFlight() int {
