internal/leverclaim, leverquery, levercatalog, levernode, leverconfig: claims, indexes and entries are judged by current state

Causes and changes: - A claim was refused as taken from a copy of its range, after another VM had released it: a rejection from a copy is checked against the stored range. - After a write whose outcome is unknown and the loss of the store the error said that the claim is not stored: it is ErrIndeterminate now. run-unclaimed sends only if the claim is known not to be stored, not after an unknown outcome or in a full range. - A list that read an invalid index removed its upstreams while the log said that they are kept: those of the last state in force stay, on every VM. - The time since which a peer is down survived a recovery that a frame showed, so that a short outage minutes later removed the VM's entry: the time is kept with the peer's state. The earlier map is gone. - A patch null reset all settings; documents and operators' bodies with trailing text were accepted: both are refused.

--- a/internal/levercatalog/source.go
+++ b/internal/levercatalog/source.go
@@ -138,12 +138,7 @@
 	for _, o := range found.Objects {
 		var list []shardReplica
 		if !o.Deleted {
-			x, err := leversnapshot.ParseIndex(o.Value)
-			if err != nil {
-				u.store.Log.Error("index is not valid; keeping its last upstreams", "key", o.Key, "err", err)
-				continue
-			}
-			list = shardReplicas(x)
+			list = u.replicasOf(o)
 		}
 		removed := make(map[string]bool)
 		for _, name := range u.names[o.Key] {
@@ -163,6 +158,21 @@
 	return out
 }
 
+// replicasOf returns the replicas of an index or, if the index is not valid, those
+// of its last state in force.
+func (u *upstreamFeed) replicasOf(o leverstore.Object) []shardReplica {
+	x, err := leversnapshot.ParseIndex(o.Value)
+	if err == nil {
+		return shardReplicas(x)
+	}
+	var list []shardReplica
+	if x, lastErr := leversnapshot.ParseIndex(u.store.Current().objects[o.Key].Value); lastErr == nil {
+		list = shardReplicas(x)
+	}
+	u.store.Log.Error("index is not valid; keeping its last upstreams", "key", o.Key, "upstreams", len(list), "err", err)
+	return list
+}
+
 // vmFeed reads the platform's list of VMs. It is not safe for concurrent use:
 // one follower uses it at a time.
 type vmFeed struct {
--- a/internal/levercatalog/source_test.go
+++ b/internal/levercatalog/source_test.go
@@ -172,6 +172,24 @@
 	})
 }
 
+// TestInvalidIndexKeepsUpstreams reads an index that has become invalid. Its last
+// upstreams must stay, also for a follower that has not seen it valid.
+func TestInvalidIndexKeepsUpstreams(t *testing.T) {
+	for name, invalid := range map[string]string{"not JSON": "{", "no shards": "{}"} {
+		t.Run(name, func(t *testing.T) {
+			f := newFollower(t)
+			f.put(indexKey, index(7, 2))
+			f.read()
+			f.put(indexKey, invalid)
+			for range 2 {
+				b, err := f.store().Upstreams().List(context.Background())
+				f.is.NoErr(err)
+				f.is.Equal(len(b.Items), 4) // two shards on two upstreams
+			}
+		})
+	}
+}
+
 // TestEmptyIsValid checks that the default contents pass validation.
 func TestEmptyIsValid(t *testing.T) {
 	is := is.New(t)
--- a/internal/leverclaim/claim_test.go
+++ b/internal/leverclaim/claim_test.go
@@ -13,6 +13,7 @@
 	"arbutuslever.dev/lever/internal/leverclaim"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leverplatform"
+	"arbutuslever.dev/lever/internal/leverstore"
 	"arbutuslever.dev/lever/internal/levertimer"
 
 	"github.com/matryer/is"
@@ -131,6 +132,48 @@
 	})
 }
 
+// TestClaimAfterReleaseElsewhere claims an id that another ledger has released.
+// The copy of the range that the first ledger holds is then out of date.
+func TestClaimAfterReleaseElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := &leverplatform.Memory{}
+		l, other := ledger(m), ledger(m)
+		ctx := context.Background()
+		id := leverclaim.IDOf("s", "r")
+		is.NoErr(other.Claim(ctx, id, 1))
+		is.True(errors.Is(l.Claim(ctx, id, 2), leverclaim.ErrTaken)) // l holds a copy now
+		is.NoErr(other.Release(ctx, id, 1))
+		is.NoErr(l.Claim(ctx, id, 3))
+		is.True(errors.Is(other.Claim(ctx, id, 4), leverclaim.ErrTaken))
+		time.Sleep(time.Second)
+	})
+}
+
+// outageStore loses the reply of its first write and is down from then on.
+type outageStore struct{ *leverplatform.Memory }
+
+func (s outageStore) Put(ctx context.Context, k leverid.ObjectKey, v []byte, match leverstore.Revision) (leverstore.Revision, error) {
+	s.SetFaults(leverplatform.Faults{LoseReplies: 1})
+	rev, err := s.Memory.Put(ctx, k, v, match)
+	s.SetFaults(leverplatform.Faults{Down: true})
+	return rev, err
+}
+
+// TestClaimUnknownThenOutage loses the reply of a write and then the store. The
+// claim may be stored, so that the error must not say that it is not.
+func TestClaimUnknownThenOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := ledger(&leverplatform.Memory{})
+		l.Store = outageStore{&leverplatform.Memory{}}
+		err := l.Claim(t.Context(), leverclaim.IDOf("s", "r"), 1)
+		is.True(errors.Is(err, leverclaim.ErrIndeterminate))
+		is.True(!errors.Is(err, leverstore.ErrUnavailable))
+		time.Sleep(time.Second)
+	})
+}
+
 // TestRangeFitsObject checks that a full range does not exceed the platform's
 // limit on an object's size.
 func TestRangeFitsObject(t *testing.T) {
--- a/internal/leverclaim/ledger.go
+++ b/internal/leverclaim/ledger.go
@@ -78,7 +78,7 @@
 	c.ctx = ctx
 	c.done = make(chan error, 1)
 	if !l.enqueue(RangeOf(c.id), c) {
-		return errors.Annotate(leverstore.ErrUnavailable, "too many queued claims")
+		return errors.Annotatef(leverstore.ErrUnavailable, "%d changes are queued for range %d", maxQueued, RangeOf(c.id))
 	}
 	select {
 	case err := <-c.done:
@@ -151,20 +151,31 @@
 	ctx, cancel := context.WithTimeout(context.Background(), w.ledger.Timeout)
 	defer cancel()
 	batch = dropCanceled(batch)
+	unknown := false
 	for range maxCommitAttempts {
 		if len(batch) == 0 {
 			return
 		}
-		if err := w.load(ctx); err != nil {
+		fresh, err := w.load(ctx)
+		if err != nil {
+			if unknown {
+				err = errors.Annotate(ErrIndeterminate, err.Error())
+			}
 			completeAll(batch, err)
 			return
 		}
-		next, pending := w.apply(batch)
+		next, pending, rejected := w.apply(batch)
+		if len(rejected) > 0 && !fresh {
+			// Another VM may have released or expired claims since.
+			w.cached = nil
+			continue
+		}
+		completeRejected(rejected)
 		batch = pending
 		if len(batch) == 0 {
 			return
 		}
-		err := w.write(ctx, next)
+		err = w.write(ctx, next)
 		switch {
 		case err == nil:
 			completeAll(batch, nil)
@@ -176,9 +187,13 @@
 			// stored are recognized by their nonces, the others are
 			// written again.
 			w.cached = nil
+			unknown = true
 			w.count("claim-read-back")
 		default:
 			w.cached = nil
+			if unknown {
+				err = errors.Annotate(ErrIndeterminate, err.Error())
+			}
 			completeAll(batch, err)
 			return
 		}
@@ -206,51 +221,64 @@
 	}
 }
 
-func (w *rangeWriter) load(ctx context.Context) error {
+// load reads the object unless it is cached. It reports whether it was read.
+func (w *rangeWriter) load(ctx context.Context) (bool, error) {
 	if w.cached != nil {
-		return nil
+		return false, nil
 	}
 	o, err := w.ledger.Store.Get(ctx, w.key)
 	if errors.Is(err, errors.NotFound) {
 		w.cached, w.revision = &Range{}, 0
-		return nil
+		return true, nil
 	}
 	if err != nil {
-		return errors.Annotate(leverstore.ErrUnavailable, err.Error())
+		return false, errors.Annotate(leverstore.ErrUnavailable, err.Error())
 	}
 	r, err := ParseRange(o.Value)
 	if err != nil {
-		return errors.Annotate(leverstore.ErrUnavailable, err.Error())
+		return false, errors.Annotate(leverstore.ErrUnavailable, err.Error())
 	}
 	w.cached, w.revision = r, o.Revision
-	return nil
+	return true, nil
+}
+
+// rejection is a change that can't be applied, and why. A nil err means that the
+// range already is as the change wants it.
+type rejection struct {
+	change change
+	err    error
 }
 
-// apply returns the range with the batch applied and the changes that need a
-// write. It completes the other changes.
-func (w *rangeWriter) apply(batch []change) (*Range, []change) {
-	next := &Range{Claims: append([]Claim(nil), w.cached.Claims...)}
+func completeRejected(list []rejection) {
+	for _, r := range list {
+		r.change.done <- r.err
+	}
+}
+
+// apply returns the range with the batch applied, the changes that need a write
+// and the others.
+func (w *rangeWriter) apply(batch []change) (next *Range, pending []change, rejected []rejection) {
+	next = &Range{Claims: append([]Claim(nil), w.cached.Claims...)}
 	now := w.ledger.Timer.Now()
 	next.Expire(now)
 	expires := now.Add(w.ledger.Retention()).Unix()
-	var pending []change
 	for _, c := range batch {
 		held := next.Contains(c.id, c.nonce)
 		switch {
 		case c.remove && !held, !c.remove && held && w.cached.Contains(c.id, c.nonce):
-			c.done <- nil
+			rejected = append(rejected, rejection{change: c})
 		case c.remove:
 			next.Remove(c.id, c.nonce)
 			pending = append(pending, c)
 		default:
 			if err := next.Add(Claim{ID: c.id, Nonce: c.nonce, Expires: expires}); err != nil {
-				c.done <- err
+				rejected = append(rejected, rejection{c, err})
 				continue
 			}
 			pending = append(pending, c)
 		}
 	}
-	return next, pending
+	return next, pending, rejected
 }
 
 func (w *rangeWriter) write(ctx context.Context, next *Range) error {
--- a/internal/leverconfig/config_test.go
+++ b/internal/leverconfig/config_test.go
@@ -19,6 +19,8 @@
 		"empty":              {`{}`, ""},
 		"one service":        {`{"services": {"a": {"least-coverage": 1}}}`, ""},
 		"not JSON":           {`{`, "unexpected EOF"},
+		"second document":    {`{} {}`, "text after byte"},
+		"rest of a document": {`{}}`, "text after byte"},
 		"unknown section":    {`{"servces": {}}`, "servces"},
 		"unknown key":        {`{"services": {"a": {"least-covrage": 1}}}`, "services.a.least-covrage: unknown key"},
 		"out of bounds":      {`{"defaults": {"least-coverage": 2}}`, "defaults.least-coverage"},
@@ -78,6 +80,8 @@
 	is.True(errors.Is(err, leverconfig.ErrBaseMismatch))
 	_, err = next.Apply(&leverconfig.Patch{ID: "b", Base: 1, Merge: json.RawMessage(`[]`)}, now)
 	is.True(err != nil)
+	_, err = next.Apply(&leverconfig.Patch{ID: "b", Base: 1, Merge: json.RawMessage(`null`)}, now)
+	is.True(err != nil) // would reset all settings
 	_, err = next.Apply(&leverconfig.Patch{Base: 1, Merge: json.RawMessage(`{}`)}, now)
 	is.True(err != nil) // no id
 	removed, err := next.Apply(&leverconfig.Patch{ID: "c", Base: 1, Merge: json.RawMessage(`{"services": {"x": null}}`)}, now)
--- a/internal/leverconfig/document.go
+++ b/internal/leverconfig/document.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverid"
@@ -48,6 +49,9 @@
 	if err := d.Decode(&w); err != nil {
 		return nil, errors.NewNotValid(err, "document")
 	}
+	if _, err := d.Token(); err != io.EOF {
+		return nil, errors.NotValidf("document: text after byte %d", d.InputOffset())
+	}
 	return w.check()
 }
 
--- a/internal/leverconfig/patch.go
+++ b/internal/leverconfig/patch.go
@@ -91,8 +91,8 @@
 		return errors.NotValidf("patch id of %d bytes (want 1 to %d)", len(p.ID), maxPatchIDBytes)
 	}
 	var members map[string]json.RawMessage
-	if err := json.Unmarshal(p.Merge, &members); err != nil {
-		return errors.NotValidf("patch (want a JSON object)")
+	if err := json.Unmarshal(p.Merge, &members); err != nil || members == nil {
+		return errors.NotValidf("patch %.40q (want a JSON object)", p.Merge)
 	}
 	return nil
 }
--- a/internal/leverengine/refuse_test.go
+++ b/internal/leverengine/refuse_test.go
@@ -93,4 +93,3 @@
 		Header: http.Header{}, PriorAttempts: prior, Overrides: o,
 	}
 }
-
--- a/internal/levermember/view.go
+++ b/internal/levermember/view.go
@@ -29,7 +29,9 @@
 // peerState is what this VM has observed of a peer.
 type peerState struct {
 	// failures is the number of failures since the peer last answered.
-	failures     int
+	failures int
+	// downSince is when the first of these failures was recorded.
+	downSince    time.Time
 	probeAt      time.Time
 	leavingUntil time.Time
 }
@@ -109,6 +111,9 @@
 		return false
 	}
 	wasUp := e.failures == 0
+	if wasUp {
+		e.downSince = now
+	}
 	e.probeAt = now.Add(min(initialProbeDelay<<min(e.failures, 6), maxProbeDelay))
 	e.failures++
 	v.cached = nil
@@ -130,6 +135,17 @@
 	return due
 }
 
+// DownFor returns for how long a peer has not answered, 0 if it is not down.
+func (v *View) DownFor(id leverid.VMID, now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	e := v.peerState[id]
+	if e == nil || e.failures == 0 {
+		return 0
+	}
+	return now.Sub(e.downSince)
+}
+
 // MarkUp records that a peer sent a frame. It reports whether the peer was
 // down before.
 func (v *View) MarkUp(id leverid.VMID) bool {
--- a/internal/levermember/view_test.go
+++ b/internal/levermember/view_test.go
@@ -70,3 +70,20 @@
 	}
 	is.True(probes > 5 && probes < 20)
 }
+
+// TestDownForCountsOneOutage has a peer answer between two failures, minutes
+// apart. Only the second outage counts, whatever ended the first one.
+func TestDownForCountsOneOutage(t *testing.T) {
+	is := is.New(t)
+	v := levermember.NewView(vm("self", levermsg.Live))
+	v.SetList([]levermsg.VM{vm("a", levermsg.Live)})
+	now := time.Unix(1000, 0)
+	v.MarkDown("a", now)
+	is.Equal(v.DownFor("a", now.Add(3*time.Second)), 3*time.Second)
+	v.MarkUp("a")
+	is.Equal(v.DownFor("a", now.Add(4*time.Second)), time.Duration(0))
+	later := now.Add(10 * time.Minute)
+	v.MarkDown("a", later)
+	v.MarkDown("a", later.Add(time.Second))
+	is.Equal(v.DownFor("a", later.Add(2*time.Second)), 2*time.Second)
+}
--- a/internal/levernode/life.go
+++ b/internal/levernode/life.go
@@ -80,19 +80,10 @@
 // runProbes probes the peers that are down, and removes the entries of those
 // that stay unresponsive.
 func (n *Node) runProbes(ctx context.Context) {
-	downSince := make(map[leverid.VMID]time.Time)
 	for n.timer.Sleep(ctx, probeInterval) {
 		for _, vm := range n.members.Probes(n.timer.Now()) {
-			if n.probe(ctx, vm) {
-				delete(downSince, vm.ID)
-				continue
-			}
-			since, ok := downSince[vm.ID]
-			if !ok {
-				downSince[vm.ID] = n.timer.Now()
-			} else if n.relay.IsWatching() && n.timer.Now().Sub(since) > removeAfter {
+			if !n.probe(ctx, vm) && n.relay.IsWatching() && n.members.DownFor(vm.ID, n.timer.Now()) > removeAfter {
 				n.removeEntry(ctx, vm.ID)
-				delete(downSince, vm.ID)
 			}
 		}
 	}
--- a/internal/leverops/ops.go
+++ b/internal/leverops/ops.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"expvar"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/pprof"
@@ -131,6 +132,10 @@
 		api.writeProblem(w, http.StatusBadRequest, "bad-request", err.Error())
 		return false
 	}
+	if _, err := d.Token(); err != io.EOF {
+		api.writeProblem(w, http.StatusBadRequest, "bad-request", fmt.Sprintf("text after byte %d of the body", d.InputOffset()))
+		return false
+	}
 	return true
 }
 
--- a/internal/leverquery/engine_test.go
+++ b/internal/leverquery/engine_test.go
@@ -185,3 +185,28 @@
 		})
 	}
 }
+
+// TestRunUnclaimed sets run-unclaimed. A request whose claim failed is sent only
+// if the claim is known not to be stored for lack of the store.
+func TestRunUnclaimed(t *testing.T) {
+	cases := map[string]struct {
+		claim error
+		sent  int
+	}{
+		"store down":      {leverstore.ErrUnavailable, 1},
+		"unknown outcome": {leverclaim.ErrIndeterminate, 0},
+		"range full":      {leverclaim.ErrFull, 0},
+		"claimed before":  {leverclaim.ErrTaken, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &scriptedRunner{outcomes: []*leverengine.Outcome{{Verdict: leverengine.NotRun}}}
+			e := engine(t, s, &countingClaimer{err: c.claim})
+			e.RunUnclaimed = func(leverid.ServiceID) bool { return true }
+			_, refusal := runQuery(e, true)
+			is.True(refusal != nil)
+			is.Equal(len(s.requests), c.sent)
+		})
+	}
+}
--- a/internal/leverquery/once.go
+++ b/internal/leverquery/once.go
@@ -12,6 +12,7 @@
 	"arbutuslever.dev/lever/internal/leverevent"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leversnapshot"
+	"arbutuslever.dev/lever/internal/leverstore"
 	"arbutuslever.dev/lever/internal/leverupstream"
 
 	"github.com/juju/errors"
@@ -89,7 +90,9 @@
 			Reason: ClaimTaken, Run: leverid.MayHaveRun,
 			Detail: "a request with this id was accepted earlier",
 		}
-	case e.RunUnclaimed(req.Service) && ctx.Err() == nil:
+	case errors.Is(err, leverstore.ErrUnavailable) && e.RunUnclaimed(req.Service) && ctx.Err() == nil:
+		// The claim is known not to be stored. After an unknown outcome or in a
+		// full range the request is refused.
 		e.Counters.Add("runs-unclaimed", 1)
 		return nil
 	}
