internal/leverengine, leverhome: a lost home does not count as the upstream's failure

Cause: losing the VM that made a call was reported as an invalid response, which raised the upstream's failure rate on the VM that had asked. Change: an error and a result of their own (vm-lost): may have run, no evidence about the upstream. Result: TestLostHomeIsNotTheUpstreamsFault fails before and passes.

--- a/internal/leverengine/attempt.go
+++ b/internal/leverengine/attempt.go
@@ -108,6 +108,8 @@
 		return leverhealth.Withdrawn
 	case errors.Is(a.err, leverpool.ErrCanceled):
 		return leverhealth.Canceled
+	case errors.Is(a.err, leverpool.ErrVMLost):
+		return leverhealth.Lost
 	case a.err != nil:
 		return leverhealth.Reset
 	case a.meta.WrongUpstream:
--- a/internal/leverengine/record.go
+++ b/internal/leverengine/record.go
@@ -14,6 +14,7 @@
 	leverhealth.Good: "good", leverhealth.Shed: "shed", leverhealth.WrongUpstream: "elsewhere",
 	leverhealth.Failed: "failed", leverhealth.Reset: "reset", leverhealth.Refused: "refused",
 	leverhealth.Canceled: "given-up", leverhealth.Withdrawn: "withdrawn", leverhealth.Absent: "absent",
+	leverhealth.Lost: "vm-lost",
 }
 
 // logPrecision is the precision of durations in the log.
--- a/internal/leverengine/refuse_test.go
+++ b/internal/leverengine/refuse_test.go
@@ -93,3 +93,44 @@
 		Header: http.Header{}, PriorAttempts: prior, Overrides: o,
 	}
 }
+
+// lossySender ends every call with err.
+type lossySender struct{ err error }
+
+func (s lossySender) Send(_ leverpool.Target, _ *leverpool.Call, _ func() http.Header, _ func(*http.Response) error, done func(*leverpool.Reply, error)) leverengine.Exchange {
+	done(nil, s.err)
+	return endedExchange{}
+}
+
+type endedExchange struct{}
+
+func (endedExchange) Withdraw() bool { return true }
+func (endedExchange) Cancel()        {}
+
+// TestLostHomeIsNotTheUpstreamsFault loses the VM that makes a call. The request
+// may have run, and the upstream must not count as failing.
+func TestLostHomeIsNotTheUpstreamsFault(t *testing.T) {
+	cases := map[string]struct {
+		err     error
+		failing bool
+	}{
+		"home lost":      {leverpool.ErrVMLost, false},
+		"upstream reset": {leverpool.ErrBadResponse, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e := refusingEngine()
+				e.Sender = lossySender{c.err}
+				e.Directory.SetUpstreams([]leverdirectory.Upstream{{ID: "u", Service: "s0", Slots: 2}, {ID: "v", Service: "s1", Slots: 2}})
+				u := e.Directory.View().Upstreams("s0")[0]
+				before := e.Health.Estimate(u, "r", time.Now())
+				out := e.Run(t.Context(), request(0, nil))
+				is.True(out.MaybeRan)
+				is.Equal(e.Health.Estimate(u, "r", time.Now()) > before, c.failing)
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
--- a/internal/leverhealth/tracker.go
+++ b/internal/leverhealth/tracker.go
@@ -36,6 +36,9 @@
 	Canceled
 	// Withdrawn means that the call was canceled before it was sent.
 	Withdrawn
+	// Lost means that contact was lost with the VM that made the call. The result
+	// is unknown and says nothing about the upstream.
+	Lost
 	// Absent means that the upstream is healthy but does not have what was
 	// requested.
 	Absent
--- a/internal/leverhome/remote.go
+++ b/internal/leverhome/remote.go
@@ -104,7 +104,7 @@
 		r.done(nil, errors.Annotate(leverpool.ErrCanceled, err.Error()))
 		return
 	case err != nil:
-		r.done(nil, errors.Annotatef(leverpool.ErrBadResponse, "lost contact with the home VM at %s: %v", r.vm.ID, err))
+		r.done(nil, errors.Annotatef(leverpool.ErrVMLost, "home %s: %v", r.vm.ID, err))
 		return
 	}
 	r.finish(body)
--- a/internal/leverpool/pool.go
+++ b/internal/leverpool/pool.go
@@ -33,6 +33,9 @@
 	// ErrBadResponse means that the response was incomplete or invalid, or
 	// belonged to another call.
 	ErrBadResponse = errors.ConstError("response is incomplete or invalid")
+	// ErrVMLost means that contact was lost with the VM that made the call, which
+	// may have run. It says nothing about the upstream.
+	ErrVMLost = errors.ConstError("lost contact with the VM that made the call")
 	// ErrCanceled means that the call was canceled after the request had been
 	// sent.
 	ErrCanceled = errors.ConstError("canceled before the response arrived")
