internal/leverbranch: wide fan-outs are spread over a team of VMs

Cause: on a VM of 0.12 cores the calls of one fan-out over 180 shards take 300 ms of processing, and 20 to 30 ms on one of 0.8 cores; many requests then hedged all their parts, since nothing had come back. Change: the VM that has a request divides its parts over a team (leverbranch.Plan: size by processing time, within one failure domain where that is about as fast; parts stay with their VM). A member merges the greatest records of its parts and reports them with their signatures at the time the answer is due, and the rest later. A lost member costs its parts only: they run again here, within the route's attempts and the budget. Members make second attempts only when allowed. If most members are overdue together, this VM takes itself for slow and waits. Strong VMs divide their own fan-outs, without the hop to a runner. The list of VMs is no longer copied for each call. Tests: TestPlan, TestPlanIsStable, TestShare, TestBranches, TestBranchMayHaveRun, TestSpreadFanouts (ten faults), TestWideFanoutOnWeakVMs (0 of 20 answers in time without branches).

--- a/internal/leverdirectory/config.go
+++ b/internal/leverdirectory/config.go
@@ -5,6 +5,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -60,6 +61,20 @@
 	// Floors are the fractions of that capacity reserved for each rank. Without
 	// any, defaults apply.
 	Floors leverrank.Floors
+
+	shardsHash uint64
+}
+
+// ShardsHash returns a hash of the shards and of how their answers are merged. It
+// is 0 until the configuration is in force.
+func (r *Route) ShardsHash() uint64 { return r.shardsHash }
+
+func (r *Route) hashShards() uint64 {
+	parts := []string{r.Name, strconv.Itoa(r.Limit), strconv.Itoa(r.RecordBytes), strconv.Itoa(r.MaxAttempts)}
+	for _, s := range r.Shards {
+		parts = append(parts, string(s))
+	}
+	return leverid.Hash(parts...)
 }
 
 // Service is the configuration of one service.
@@ -99,6 +114,9 @@
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
+		if len(r.Shards) > 0 {
+			r.shardsHash = r.hashShards()
+		}
 		for _, s := range r.Shards {
 			c.shards[s] = true
 		}
--- a/internal/leverengine/admit.go
+++ b/internal/leverengine/admit.go
@@ -57,3 +57,8 @@
 	retryAfter := time.Duration(float64(defaultRetryAfter) / max(f.limiter.Fraction(f.route.Rank), 0.01))
 	return &Outcome{Verdict: NotRun, Cause: NoCapacity, RetryAfter: min(retryAfter, maxRetryAfter), Reason: "insufficient capacity for this rank"}
 }
+
+// isSlow reports whether a call that took d was slow.
+func (f *fanout) isSlow(d time.Duration) bool {
+	return d > time.Duration(slowCallFraction*float64(f.route.Objective))
+}
--- a/internal/leverengine/attempt.go
+++ b/internal/leverengine/attempt.go
@@ -22,6 +22,7 @@
 	// The following are set when the call has ended.
 
 	kind  leverhealth.Result
+	slow  bool
 	reply *leverpool.Reply
 	meta  ResponseMeta
 	err   error
@@ -91,8 +92,9 @@
 	if status := f.engine.Health.End(a.upstream, f.class, a.started, a.kind, now); status != "" {
 		f.recordStatus(a, status)
 	}
-	if a.kind == leverhealth.Good || a.kind == leverhealth.Canceled {
-		f.limiter.Observe(a.part, len(f.parts), f.work, now.Sub(a.started) > time.Duration(slowCallFraction*float64(f.route.Objective)), now)
+	a.slow = f.isSlow(now.Sub(a.started))
+	if f.sub == nil && (a.kind == leverhealth.Good || a.kind == leverhealth.Canceled) {
+		f.limiter.Observe(a.part, len(f.parts), f.work, a.slow, now)
 	}
 	f.results <- a
 }
--- a/internal/leverengine/conclude.go
+++ b/internal/leverengine/conclude.go
@@ -9,6 +9,9 @@
 // conclude returns the request's outcome, or nil if the request must go on.
 func (f *fanout) conclude(now time.Time) *Outcome {
 	late := !now.Before(f.deadline)
+	if f.sub != nil {
+		return f.sub.conclude(f, now)
+	}
 	if !f.gather {
 		return f.concludeSingle(late)
 	}
@@ -68,12 +71,23 @@
 
 // failureOutcome returns the outcome of a request that can't be answered.
 func (f *fanout) failureOutcome() *Outcome {
+	if f.maybeRunning() {
+		return &Outcome{Verdict: MayHaveRun, Reason: f.reason}
+	}
+	return &Outcome{Verdict: NotRun, RetryAfter: defaultRetryAfter, Reason: f.reason}
+}
+
+// maybeRunning reports whether an upstream may have run or may run the request.
+func (f *fanout) maybeRunning() bool {
+	if f.mayHaveRun || f.hasOpenBranch() {
+		return true
+	}
 	for i := range f.parts {
-		if f.mayHaveRun || f.parts[i].inFlight > 0 {
-			return &Outcome{Verdict: MayHaveRun, Reason: f.reason}
+		if f.parts[i].inFlight > 0 {
+			return true
 		}
 	}
-	return &Outcome{Verdict: NotRun, RetryAfter: defaultRetryAfter, Reason: f.reason}
+	return false
 }
 
 // merge combines the responses of the parts that are done.
@@ -89,12 +103,18 @@
 			continue
 		}
 		out.Signatures = append(out.Signatures, p.signature)
-		if out.Parts != nil {
+		switch {
+		case p.reply == nil:
+			// Its records are among those of its branch.
+		case out.Parts != nil:
 			out.Parts[i] = p.reply.Body
-		} else {
+		default:
 			top.Add(p.reply.Body)
 		}
 	}
+	for _, records := range f.branchRecords {
+		top.Add(records)
+	}
 	if out.Parts == nil {
 		out.Records = top.Bytes()
 	}
@@ -103,10 +123,7 @@
 
 // fillAttempts copies the attempt statistics to the outcome.
 func (f *fanout) fillAttempts(out *Outcome) {
-	out.MaybeRan = f.mayHaveRun
-	for i := range f.parts {
-		out.MaybeRan = out.MaybeRan || f.parts[i].inFlight > 0
-	}
+	out.MaybeRan = f.maybeRunning()
 	out.Absent = f.absent
-	out.Attempts, out.Hedged, out.Retried = len(f.attempts), f.hedged, f.retried
+	out.Attempts, out.Hedged, out.Retried = len(f.attempts)+f.branchAttempts, f.hedged, f.retried
 }
--- a/internal/leverengine/crash.go
+++ b/internal/leverengine/crash.go
@@ -81,7 +81,7 @@
 func (f *fanout) recordCrashEvidence(a *attempt) {
 	e := f.engine
 	now := e.Timer.Now()
-	shard := leverid.ShardID(a.part)
+	shard := leverid.ShardID(f.parts[a.part].index)
 	switch {
 	case a.kind == leverhealth.Good || a.kind == leverhealth.Failed:
 		e.Crashes.Good(f.fingerprint, shard, now)
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -50,9 +50,14 @@
 	Current func() bool
 	// Delegate, if set, may run fan-outs on other VMs.
 	Delegate Delegate
-
-	splitter      splitter
-	answerLag     answerLag
+	// Brancher, if set, may run parts of fan-outs on other VMs.
+	Brancher Brancher
+
+	splitter splitter
+	// answerLag is the time from the decision on an answer until it is written.
+	answerLag leverhealth.Lag
+	// reportLag is the time by which reports of branches arrive after they are due.
+	reportLag     leverhealth.Lag
 	limiters      limiters
 	newConnResets newConnResets
 	inFlight      atomic.Int64
@@ -81,13 +86,13 @@
 // Written records that an outcome was written to its caller.
 func (e *Engine) Written(out *Outcome) {
 	if !out.DecidedAt.IsZero() {
-		e.answerLag.observe(e.Timer.Now().Sub(out.DecidedAt))
+		e.answerLag.Observe(e.Timer.Now().Sub(out.DecidedAt))
 	}
 }
 
 // AnswerLag returns the estimated time that this VM takes from the decision on
 // an answer until the answer is written.
-func (e *Engine) AnswerLag() time.Duration { return e.answerLag.estimate() }
+func (e *Engine) AnswerLag() time.Duration { return e.answerLag.Estimate() }
 
 // InFlight returns the number of requests in progress.
 func (e *Engine) InFlight() int { return int(e.inFlight.Load()) }
@@ -118,12 +123,12 @@
 		return e.recordUnrouted(req, view, &Outcome{Verdict: NotRun, RetryAfter: defaultRetryAfter, Reason: reason})
 	}
 	route = req.Overrides.apply(route)
-	if d != nil && len(route.Shards) > 0 {
+	if d != nil && len(route.Shards) > 0 && (e.Brancher == nil || !e.Brancher.Leads(route, view)) {
 		if out, ok := d.Run(ctx, req, view.Config.Version, route.MaxAttempts); ok {
 			return out
 		}
 	}
-	f := e.newFanout(req, view, route)
+	f := e.newFanout(req, view, route, nil)
 	out := f.admit()
 	if out == nil {
 		out = f.runGuarded(ctx)
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -29,6 +29,9 @@
 	// retryDelay is the delay before the next attempt for a part that has no
 	// upstream, or that has reached notRunLimit.
 	retryDelay = 40 * time.Millisecond
+	// confirmPollInterval is how often a part that needs a second attempt checks
+	// whether it may have one.
+	confirmPollInterval = 2 * time.Millisecond
 	// loserGrace is how long attempts may continue after their request has
 	// ended.
 	loserGrace = 400 * time.Millisecond
@@ -48,7 +51,11 @@
 // request without fan-out.
 type part struct {
 	service leverid.ServiceID
-	done    bool
+	// index is that of the shard in the route.
+	index int
+	done  bool
+	// branched is set while another VM runs the part.
+	branched bool
 	// exhausted is set when no attempt is in flight and no more are allowed.
 	exhausted bool
 	signature string
@@ -64,18 +71,18 @@
 	// held is set while the part, after a reset, waits for the retry of another
 	// part.
 	held bool
+	// slow is set if the call that settled the part was slow.
+	slow bool
 	// absent counts the upstreams that do not have what was requested, resets
 	// those that closed the connection without a complete response.
 	absent, resets int
 }
 
 // maxRuns returns the maximum number of upstreams that a part may run on.
-func (f *fanout) maxRuns() int {
-	if f.req.Confirmed != nil && !f.req.Confirmed() {
-		return 1
-	}
-	return max(f.route.MaxAttempts-f.req.PriorAttempts, 1)
-}
+func (f *fanout) maxRuns() int { return max(f.route.MaxAttempts-f.req.PriorAttempts, 1) }
+
+// confirmed reports whether a part may get more than one attempt that runs.
+func (f *fanout) confirmed() bool { return f.req.Confirmed == nil || f.req.Confirmed() }
 
 // maxSends returns the maximum number of attempts for a part, including those
 // that did not run.
@@ -91,8 +98,11 @@
 	crashState
 	progress
 
+	branching
+
 	engine  *Engine
 	req     *Request
+	view    *leverdirectory.View
 	route   *leverdirectory.Route
 	version leverid.ConfigVersion
 	class   leverhealth.Class
@@ -111,6 +121,29 @@
 	attempts []*attempt
 }
 
+// branching is what connects the fan-outs of several VMs.
+type branching struct {
+	// sub is set if this fan-out is a branch of another VM's.
+	sub *subFanout
+	// branches are run by other VMs, which send branchEvents until ended is closed.
+	branches     []branchState
+	branchEvents chan BranchEvent
+	ended        chan struct{}
+	// reportAt is when the branches report which parts are done.
+	reportAt time.Time
+	// overdueSince is since when branches are overdue that this VM has not doubled,
+	// or zero.
+	overdueSince time.Time
+	// ownDelay is set while this VM takes itself for slow, because most branches
+	// were overdue together.
+	ownDelay bool
+	// branchRecords are the records of the reports.
+	branchRecords  [][]byte
+	branchAttempts int
+	// branchesLeft is set if the request ended while a branch was open.
+	branchesLeft bool
+}
+
 // schedule holds the points in time at which the request changes its behavior.
 type schedule struct {
 	startTime, deadline time.Time
@@ -151,8 +184,10 @@
 	reason  string
 }
 
-func (e *Engine) newFanout(req *Request, v *leverdirectory.View, route *leverdirectory.Route) *fanout {
-	f := &fanout{engine: e, req: req, route: route, version: v.Config.Version, class: leverhealth.Class(route.Name)}
+// newFanout returns a request's fan-out over all parts of the route, or over those
+// of sub if that is not nil.
+func (e *Engine) newFanout(req *Request, v *leverdirectory.View, route *leverdirectory.Route, sub *SubRequest) *fanout {
+	f := &fanout{engine: e, req: req, view: v, route: route, version: v.Config.Version, class: leverhealth.Class(route.Name)}
 	f.startTime = e.Timer.Now()
 	f.mayHaveRun = req.PriorAttempts > 0
 	services := route.Shards
@@ -160,19 +195,29 @@
 	if !f.gather {
 		services = []leverid.ServiceID{e.splitter.next(route)}
 	}
-	f.parts = make([]part, len(services))
-	for i, s := range services {
-		f.parts[i].service = s
-	}
 	f.limiter = e.limiters.get(cmp.Or(route.Room, services[0]), route.Floors)
-	f.results = make(chan *attempt, len(services)*f.maxSends())
+	if sub == nil {
+		f.parts = make([]part, len(services))
+		for i, s := range services {
+			f.parts[i].service, f.parts[i].index = s, i
+		}
+	} else {
+		f.sub = &subFanout{request: sub, nextReport: sub.ReportAt, first: true}
+		for _, i := range sub.Parts {
+			if i >= 0 && i < len(services) {
+				f.parts = append(f.parts, part{service: services[i], index: i})
+			}
+		}
+		f.sub.reported = make([]bool, len(f.parts))
+	}
+	f.results = make(chan *attempt, len(f.parts)*f.maxSends())
 	e.Protocol.StripHeaders(req.Header)
 	wait := route.Timeout
 	if req.CallerTimeout > 0 && (wait == 0 || req.CallerTimeout < wait) {
 		wait = req.CallerTimeout
 	}
 	f.deadline = req.Received.Add(wait)
-	f.partialAt = req.Received.Add(route.Objective - req.CallerRTT - e.answerLag.estimate() - callerMargin)
+	f.partialAt = req.Received.Add(route.Objective - req.CallerRTT - e.answerLag.Estimate() - callerMargin)
 	f.latePartialAt = req.Received.Add(lateFactor * route.Objective)
 	f.hedgeAt = f.startTime.Add(min(e.Health.SlowAfter(f.class), time.Duration(maxHedgeDelayFraction*float64(route.Objective))))
 	return f
@@ -184,11 +229,13 @@
 	alarm := f.engine.Timer.Alarm()
 	defer alarm.Stop()
 	defer f.finish()
-	for i := range f.parts {
-		f.engine.Budget.CountRequest(f.parts[i].service, f.startTime)
-		if !f.trial || i == f.trialPart {
-			f.startAttempt(i, false)
-		}
+	f.startParts()
+	if f.ended != nil {
+		defer close(f.ended)
+	}
+	var finished <-chan struct{}
+	if f.sub != nil {
+		finished = f.sub.request.Finished
 	}
 	for {
 		now := f.engine.Timer.Now()
@@ -199,10 +246,15 @@
 		select {
 		case a := <-f.results:
 			f.handleResult(a)
+		case ev := <-f.branchEvents:
+			f.handleBranchEvent(ev)
 		case now := <-alarm.C:
 			f.onTimer(now)
+		case <-finished:
+			return &Outcome{Verdict: CallerGone, Reason: "the other parts' answer was returned"}
 		case <-ctx.Done():
 			f.cancel()
+			f.endBranches(BranchCall.Cancel)
 			return &Outcome{Verdict: CallerGone, Reason: "the caller left"}
 		}
 	}
@@ -212,6 +264,7 @@
 // continue for loserGrace: a response keeps the connection reusable and updates
 // the upstream's health statistics.
 func (f *fanout) finish() {
+	f.endBranches(BranchCall.Finish)
 	inFlight := false
 	for _, a := range f.attempts {
 		inFlight = !a.exchange.Withdraw() || inFlight
@@ -238,7 +291,13 @@
 		}
 	}
 	consider(f.hedgeAt)
-	if f.gather {
+	if !f.overdueSince.IsZero() {
+		consider(f.overdueSince.Add(overdueSettle))
+		consider(f.overdueSince.Add(overdueGrace))
+	}
+	if f.sub != nil {
+		consider(f.sub.wake())
+	} else if f.gather {
 		consider(f.partialAt)
 		consider(f.latePartialAt)
 	}
@@ -254,7 +313,7 @@
 func (f *fanout) onTimer(now time.Time) {
 	for i := range f.parts {
 		p := &f.parts[i]
-		if p.settled() {
+		if p.settled() || p.branched {
 			continue
 		}
 		if !p.retryAt.IsZero() && !now.Before(p.retryAt) {
@@ -262,6 +321,7 @@
 			f.startAttempt(i, p.possibleArrivals > 0)
 		}
 	}
+	f.doubleOverdue(now)
 	if !now.Before(f.hedgeAt) {
 		f.hedge(now)
 	}
@@ -280,6 +340,10 @@
 		if p.settled() || p.inFlight != 1 || p.possibleRuns >= f.maxRuns() || len(p.tried) >= f.maxSends() {
 			continue
 		}
+		if !f.confirmed() {
+			f.hedgeAt = now.Add(confirmPollInterval)
+			return
+		}
 		u, expected := f.pickUpstream(p, now)
 		if u == nil || !leverhealth.Usable(expected) {
 			continue
@@ -302,6 +366,10 @@
 		p.exhausted = p.inFlight == 0
 		return
 	}
+	if p.possibleRuns > 0 && !f.confirmed() {
+		p.retryAt = now.Add(confirmPollInterval)
+		return
+	}
 	u, _ := f.pickUpstream(p, now)
 	if u == nil {
 		p.retryAt = now.Add(retryDelay)
@@ -360,7 +428,7 @@
 	}
 	if a.kind == leverhealth.Good && f.settlesPart(a) {
 		if !p.done {
-			p.done, p.exhausted, p.reply, p.signature = true, false, a.reply, a.meta.Signature
+			p.done, p.exhausted, p.reply, p.signature, p.slow = true, false, a.reply, a.meta.Signature, a.slow
 			f.mayHaveRun = true
 		}
 		return
--- a/internal/leverengine/record.go
+++ b/internal/leverengine/record.go
@@ -105,3 +105,11 @@
 		"config", f.version, "parts", len(f.parts), "missing", out.Missing, "hedged", f.hedged, "retried", f.retried,
 		"took", took.Round(logPrecision), "objective", f.route.Objective, "open", f.openParts(), "age-at-begin", f.startTime.Sub(f.req.Received).Round(logPrecision), "reason", out.Reason)
 }
+
+// recordTakeOver logs and counts a branch whose open parts run here, too. taken is
+// their number.
+func (f *fanout) recordTakeOver(b *branchState, reason string, mayHaveStarted bool, taken int) {
+	f.engine.Metrics.Add(levermetric.Name("branches-taken-over"), 1)
+	f.engine.Log.Info("the open parts of a branch run here", "id", f.req.ID, "branch-vm", b.VM.ID, "parts", len(b.Parts),
+		"taken", taken, "may-have-started", mayHaveStarted, "at", f.engine.Timer.Now().Sub(f.startTime).Round(logPrecision), "why", reason)
+}
--- a/internal/leverengine/lag.go
+++ b/internal/leverhealth/lag.go
@@ -1,6 +1,7 @@
-package leverengine
+package leverhealth
 
 import (
+	"cmp"
 	"math"
 	"sync"
 	"time"
@@ -15,21 +16,25 @@
 	// initialLag is the mean and the deviation before the first observation, in
 	// nanoseconds.
 	initialLag = 1.5 * float64(time.Millisecond)
-	// maxLag is the upper bound of the estimate.
-	maxLag = 15 * time.Millisecond
+	// defaultMaxLag is the upper bound of the estimate if none is set.
+	defaultMaxLag = 15 * time.Millisecond
 )
 
-// answerLag estimates how long this VM takes from the decision on an answer
-// until the answer is written, which grows with the VM's CPU load. The zero
-// value is ready to use. It is safe for concurrent use.
-type answerLag struct {
+// Lag estimates an upper limit of how long a VM takes for something, such as
+// writing an answer, which grows with the VM's CPU load. The zero value is ready
+// to use. It is safe for concurrent use.
+type Lag struct {
+	// Max is the upper bound of the estimate; 0 means 15 ms. It must be set before
+	// the first use.
+	Max time.Duration
+
 	mu sync.Mutex
 	// mean and deviation are in nanoseconds.
 	mean, deviation float64
 }
 
-// observe records the lag of one answer.
-func (l *answerLag) observe(d time.Duration) {
+// Observe records one duration.
+func (l *Lag) Observe(d time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ensureInit()
@@ -38,15 +43,15 @@
 	l.deviation += lagWeight * (math.Abs(diff) - l.deviation)
 }
 
-// estimate returns the time to reserve for writing an answer.
-func (l *answerLag) estimate() time.Duration {
+// Estimate returns the mean plus some mean deviations.
+func (l *Lag) Estimate() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ensureInit()
-	return min(time.Duration(l.mean+lagDeviations*l.deviation), maxLag)
+	return min(time.Duration(l.mean+lagDeviations*l.deviation), cmp.Or(l.Max, defaultMaxLag))
 }
 
-func (l *answerLag) ensureInit() {
+func (l *Lag) ensureInit() {
 	if l.mean == 0 {
 		l.mean, l.deviation = initialLag, initialLag
 	}
--- a/internal/leverhealth/tracker.go
+++ b/internal/leverhealth/tracker.go
@@ -295,6 +295,16 @@
 	return seconds(t.class(c).base)
 }
 
+// AdoptServiceTime sets the time that ServiceTime returns for a class of which this
+// VM has made no calls. Zero has no effect.
+func (t *Tracker) AdoptServiceTime(c Class, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if stats := t.class(c); stats.n == 0 && d > 0 {
+		stats.base = d.Seconds()
+	}
+}
+
 // Estimate returns the estimated time of a call to the upstream, with penalties
 // if the upstream is failing, unresponsive or unreachable.
 func (t *Tracker) Estimate(u *leverdirectory.Upstream, c Class, now time.Time) time.Duration {
--- a/internal/levermember/view.go
+++ b/internal/levermember/view.go
@@ -97,6 +97,13 @@
 	return slices.Clone(v.list)
 }
 
+// Len returns the length of the platform's list.
+func (v *View) Len() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.list)
+}
+
 func byID(a, b levermsg.VM) int { return cmp.Compare(a.ID, b.ID) }
 
 // MarkDown records that a peer did not answer. The peer counts as down until it
--- a/internal/levernode/follow.go
+++ b/internal/levernode/follow.go
@@ -73,7 +73,7 @@
 	if n.relay.IsWatchCandidate() {
 		return candidateMax
 	}
-	return max(minNonCandidateBackoff, time.Duration(len(n.members.List()))*nonCandidateBackoffPerVM)
+	return max(minNonCandidateBackoff, time.Duration(n.members.Len())*nonCandidateBackoffPerVM)
 }
 
 // directoryChanged applies a new view of the directory.
--- a/internal/levernode/gauges.go
+++ b/internal/levernode/gauges.go
@@ -23,7 +23,7 @@
 	m.Gauge("store-current", func() float64 { return boolValue(n.mirror.Current()) })
 	m.Gauge("store-watched-here", func() float64 { return boolValue(n.relay.IsWatching()) })
 	m.Gauge("runs-fan-outs", func() float64 { return boolValue(n.delegate.RunsLocally()) })
-	m.Gauge("vms-listed", func() float64 { return float64(len(n.members.List())) })
+	m.Gauge("vms-listed", func() float64 { return float64(n.members.Len()) })
 	m.Gauge("vms-live", func() float64 { return float64(len(n.members.Live(n.timer.Now()))) })
 	m.Gauge("peer-connections", func() float64 { return float64(n.controlPeers.Connections() + n.workPeers.Connections()) })
 	m.Gauge("answer-lag-ms", func() float64 { return n.engine.AnswerLag().Seconds() * 1000 })
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"arbutuslever.dev/lever/internal/leverbranch"
 	"arbutuslever.dev/lever/internal/leverbudget"
 	"arbutuslever.dev/lever/internal/levercrash"
 	"arbutuslever.dev/lever/internal/leverdelegate"
@@ -101,6 +102,7 @@
 	mirror   *leverrelay.Mirror
 	relay    *leverrelay.Relay
 	delegate *leverdelegate.Delegate
+	branches *leverbranch.Branches
 	// homes is nil if calls never go through homes.
 	homes *leverhome.Sender
 	// controlPeers carries the relay, probes and crash reports.
@@ -145,6 +147,7 @@
 	n.initPeers()
 	n.initFeeds()
 	n.engine.Delegate = n.delegate
+	n.engine.Brancher = n.branches
 	n.initHomes()
 	n.mirror.OnConfigs = n.applyConfigs
 	n.mirror.OnUpstreams = directory.SetUpstreams
@@ -170,6 +173,10 @@
 		Self: o.Self, Members: n.members, Peers: n.workPeers, Engine: n.engine, Timer: n.timer,
 		Log: o.Log.For("delegate"), Stopping: n.stopping.Load,
 	}
+	n.branches = &leverbranch.Branches{
+		Self: o.Self, Members: n.members, Peers: n.workPeers, Engine: n.engine, Timer: n.timer,
+		Log: o.Log.For("branch"), Stopping: n.stopping.Load,
+	}
 	n.server = &leverpeer.Server{Self: o.Self, Keys: keys, Hooks: h, Timer: n.timer, Handler: &dispatcher{node: n}, Counters: n.counters}
 }
 
@@ -202,11 +209,15 @@
 // shares returns this VM's shares of the upstreams' connections, for fan-outs
 // and for other requests.
 func (n *Node) shares() (fanout, other float64) {
-	listed := len(n.members.List())
+	listed := n.members.Len()
 	if listed == 0 {
 		return initialShare, initialShare
 	}
-	return n.delegate.Share(), 1 / float64(listed)
+	fanout, spread := n.branches.Share()
+	if !spread {
+		fanout = n.delegate.Share()
+	}
+	return fanout, 1 / float64(listed)
 }
 
 // RunsLocally reports whether this VM runs its fan-outs itself.
--- a/internal/leverpeer/call.go
+++ b/internal/leverpeer/call.go
@@ -102,6 +102,21 @@
 	return f.Body, f.Op == opLastReply, nil
 }
 
+// Ready returns a channel that has a value when Poll may have a new result.
+func (c *Call) Ready() <-chan struct{} { return c.changed }
+
+// Poll returns the body of the next reply if one has arrived. Otherwise ok is
+// false, and err says why no reply follows, if none does. A reply that is an error
+// of the peer is returned as err, too.
+func (c *Call) Poll() (body []byte, ok bool, err error) {
+	f, err := c.take()
+	if f == nil {
+		return nil, false, err
+	}
+	body, _, err = decodeReply(f)
+	return body, err == nil, err
+}
+
 // Signal sends a further message to the handler of the request.
 func (c *Call) Signal(msg any) error {
 	body, err := encode(msg)
--- a/internal/leverpeer/client.go
+++ b/internal/leverpeer/client.go
@@ -91,6 +91,31 @@
 	return Decode(body, answer)
 }
 
+// Connected reports whether a call to a VM need not wait for a connection.
+func (c *Client) Connected(id leverid.VMID) bool {
+	c.mu.Lock()
+	conn := c.conns[id]
+	c.mu.Unlock()
+	if conn == nil {
+		return false
+	}
+	select {
+	case <-conn.ready:
+		return true
+	default:
+		return false
+	}
+}
+
+// Connect begins to connect to a VM unless there is a connection.
+func (c *Client) Connect(vm levermsg.VM) {
+	// The context has ended, so that conn does not wait; the error is that of the
+	// context or of a connection that failed and is retried by the next call.
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, _ = c.conn(ctx, vm)
+}
+
 // Close closes all connections. Calls in flight fail with ErrClosed.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/leverpeer/frame.go
+++ b/internal/leverpeer/frame.go
@@ -58,6 +58,8 @@
 	// KindCall asks the VM to call an upstream. Type Call in contrast is a
 	// request of any kind.
 	KindCall Kind = 12
+	// KindBranch asks the VM to run parts of a fan-out.
+	KindBranch Kind = 13
 )
 
 // CallID identifies a call within its connection.
--- a/internal/leverrelay/relay.go
+++ b/internal/leverrelay/relay.go
@@ -136,7 +136,7 @@
 // if it has the first rank, or if it has no parent with a path to the store and
 // is a candidate or has waited for orphanTimeout.
 func (r *Relay) shouldWatch(now, started time.Time, jitter time.Duration) bool {
-	if len(r.Members.List()) == 0 {
+	if r.Members.Len() == 0 {
 		// No other VM is known yet.
 		return len(r.Seeds) == 0 || r.isSeed() || now.Sub(started) > seedTimeout
 	}
@@ -181,7 +181,7 @@
 
 // parents returns the VMs to follow, the best first.
 func (r *Relay) parents() []levermsg.VM {
-	if len(r.Members.List()) == 0 {
+	if r.Members.Len() == 0 {
 		return slices.DeleteFunc(slices.Clone(r.Seeds), func(s levermsg.VM) bool { return s.Peer == r.Members.Self().Peer })
 	}
 	ranked := Ranked(r.Members.Live(r.Timer.Now()))
--- /dev/null
+++ b/internal/levertest/processor.go
@@ -0,0 +1,47 @@
+package levertest
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Processors simulates the processor time that hosts take to write to their
+// connections: a host writes to one connection at a time. Its fields must be set
+// before the first use. It is safe for concurrent use.
+type Processors struct {
+	// WriteTime is how long one write takes.
+	WriteTime time.Duration
+
+	mu    sync.Mutex
+	hosts map[string]chan struct{}
+}
+
+// Conn returns a connection of a host whose writes take processor time.
+func (p *Processors) Conn(host string, c net.Conn) net.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.hosts == nil {
+		p.hosts = make(map[string]chan struct{})
+	}
+	if p.hosts[host] == nil {
+		p.hosts[host] = make(chan struct{}, 1)
+	}
+	return &processedConn{Conn: c, processors: p, busy: p.hosts[host]}
+}
+
+type processedConn struct {
+	net.Conn
+	processors *Processors
+	// busy holds a value while the processor is taken. Virtual time does not pass
+	// while a goroutine waits for a mutex.
+	busy chan struct{}
+}
+
+// Write takes the host's processor for WriteTime and writes.
+func (c *processedConn) Write(b []byte) (int, error) {
+	c.busy <- struct{}{}
+	time.Sleep(c.processors.WriteTime)
+	<-c.busy
+	return c.Conn.Write(b)
+}
