internal/leverrelay: starting fleets learn the VMs first, and updates are encoded once and compressed

Cause: a VM without a list of VMs followed the seeds one after the other, 200 ms a seed that was still down, and each seed then sent its complete collections to a third of the fleet, encoded anew for each VM (some 300 KB at 295 VMs). Change: a VM asks all seeds at once for the list of VMs alone and follows its parent in the tree; an update for many children at one position is encoded once; updates from 4 KB on are compressed (zstd, klauspost/compress) for children that say they accept it, so that builds before this one still follow. VMs that got no answer from a seed read the store at spread times. The order of VMs by rank is computed once for each change of the fleet. Result: TestEncodedUpdates (compressed to under a quarter), TestEncodedCrashesAge, TestUnpackIsBounded, FuzzDecodeUpdate; TestFleetStartsTogether holds the start of 24 VMs with seeds away (it held before, too: at this size the herd does not show).

--- a/internal/leverrelay/mirror.go
+++ b/internal/leverrelay/mirror.go
@@ -31,6 +31,8 @@
 	Upstreams Delta[leverdirectory.Upstream] `msgpack:"u"`
 	VMs       Delta[levermsg.VM]             `msgpack:"v"`
 	Crashes   []CrashEntry                   `msgpack:"h"`
+	// Packed, if set, is a compressed Update that replaces this one.
+	Packed []byte `msgpack:"k,omitempty"`
 }
 
 // Mirror is a VM's copy of the store's collections and of the crash levels that
@@ -54,12 +56,16 @@
 	// child that is further behind gets the complete collections.
 	trimmedSeq uint64
 	path       []leverid.VMID
+	// pathID changes with path.
+	pathID uint64
 	// changed is closed, and replaced, at each change.
 	changed   chan struct{}
 	configs   collection[*leverdirectory.Config]
 	upstreams collection[leverdirectory.Upstream]
 	vms       collection[levermsg.VM]
 	crashes   map[leverid.Fingerprint]crashRecord
+
+	encoder encoder
 }
 
 // NewMirror returns an empty copy.
@@ -140,6 +146,7 @@
 		return
 	}
 	m.path = path
+	m.pathID++
 	m.notifyWaiters()
 }
 
--- a/internal/leverrelay/relay.go
+++ b/internal/leverrelay/relay.go
@@ -24,14 +24,17 @@
 	// candidates and VMs that use the parent as a fallback may follow it too.
 	maxChildren = 32
 	// checkInterval is how often a VM decides whether to watch the store itself.
-	checkInterval = 150 * time.Millisecond
+	checkInterval = 50 * time.Millisecond
 	// orphanTimeout is how long a VM without a path to the store waits before it
 	// watches the store itself, plus a random part of orphanJitter.
 	orphanTimeout = 500 * time.Millisecond
 	orphanJitter  = 1500 * time.Millisecond
 	// seedTimeout is how long a VM that has just started waits for its seeds
 	// before it watches the store itself.
-	seedTimeout = 450 * time.Millisecond
+	// It adds its jitter divided by seedJitterFraction, so that many VMs do not
+	// read the store at once.
+	seedTimeout        = 450 * time.Millisecond
+	seedJitterFraction = 5
 	// retryDelay is the mean delay before the parents are tried again.
 	retryDelay = 100 * time.Millisecond
 	// fallbackParents is the number of other VMs that a VM follows in turn while
@@ -46,6 +49,10 @@
 type FollowRequest struct {
 	Epoch uint64 `msgpack:"e"`
 	Seq   uint64 `msgpack:"q"`
+	// Packed says that the child accepts compressed updates.
+	Packed bool `msgpack:"k,omitempty"`
+	// OnlyVMs asks for the list of VMs only, in one update.
+	OnlyVMs bool `msgpack:"v,omitempty"`
 }
 
 // Relay keeps a VM's copy of the store up to date, by watching the store or by
@@ -73,6 +80,8 @@
 	// one.
 	orphanSince time.Time
 	watching    bool
+	// ranked is the order of live, the live VMs that it was computed for.
+	live, ranked []levermsg.VM
 }
 
 // Run keeps the VM's copy of the store up to date until ctx ends.
@@ -138,7 +147,7 @@
 func (r *Relay) shouldWatch(now, started time.Time, jitter time.Duration) bool {
 	if r.Members.Len() == 0 {
 		// No other VM is known yet.
-		return len(r.Seeds) == 0 || r.isSeed() || now.Sub(started) > seedTimeout
+		return len(r.Seeds) == 0 || r.isSeed() || now.Sub(started) > seedTimeout+jitter/seedJitterFraction
 	}
 	rank := r.rank()
 	if rank == 0 {
@@ -174,8 +183,21 @@
 	return ranked
 }
 
+// rankedVMs returns the live VMs by rank. The result must not be modified.
+func (r *Relay) rankedVMs() []levermsg.VM {
+	live := r.Members.Live(r.Timer.Now())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// Live returns the same slice until the set changes, so comparing the address
+	// of the first element is sufficient.
+	if len(live) != len(r.live) || len(live) > 0 && &live[0] != &r.live[0] {
+		r.live, r.ranked = live, Ranked(live)
+	}
+	return r.ranked
+}
+
 func (r *Relay) rank() int {
-	ranked := Ranked(r.Members.Live(r.Timer.Now()))
+	ranked := r.rankedVMs()
 	return slices.IndexFunc(ranked, func(vm levermsg.VM) bool { return vm.ID == r.Self })
 }
 
@@ -184,7 +206,7 @@
 	if r.Members.Len() == 0 {
 		return slices.DeleteFunc(slices.Clone(r.Seeds), func(s levermsg.VM) bool { return s.Peer == r.Members.Self().Peer })
 	}
-	ranked := Ranked(r.Members.Live(r.Timer.Now()))
+	ranked := r.rankedVMs()
 	ownRank := slices.IndexFunc(ranked, func(vm levermsg.VM) bool { return vm.ID == r.Self })
 	var out []levermsg.VM
 	if ownRank >= watchCandidates {
@@ -221,6 +243,9 @@
 // runFollow follows one parent after the other until ctx ends.
 func (r *Relay) runFollow(ctx context.Context) {
 	positions := make(map[leverid.VMID]FollowRequest)
+	if r.Members.Len() == 0 {
+		r.learnVMs(ctx)
+	}
 	for ctx.Err() == nil {
 		if r.isLeader() {
 			r.Timer.Sleep(ctx, checkInterval)
@@ -228,6 +253,7 @@
 		}
 		for _, vm := range append(r.parents(), r.fallbackParents()...) {
 			f := positions[vm.ID]
+			f.Packed = true
 			r.follow(ctx, vm, &f)
 			if len(positions) > maxSavedPositions {
 				clear(positions)
@@ -274,12 +300,12 @@
 			r.Log.Debug("updates from the parent ended", "parent", vm.ID, "err", err)
 			return
 		}
-		var u Update
-		if err := leverpeer.Decode(body, &u); err != nil {
+		u, err := DecodeUpdate(body)
+		if err != nil {
 			r.Log.Error("update from the parent could not be decoded", "parent", vm.ID, "err", err)
 			return
 		}
-		r.Mirror.Merge(&u)
+		r.Mirror.Merge(u)
 		f.Epoch, f.Seq = u.Epoch, u.Seq
 		if slices.Contains(u.Path, r.Self) {
 			u.Path = nil
@@ -332,7 +358,7 @@
 // WatchCandidates returns the VMs that may watch the store on behalf of all,
 // without this VM.
 func (r *Relay) WatchCandidates() []levermsg.VM {
-	ranked := Ranked(r.Members.Live(r.Timer.Now()))
+	ranked := slices.Clone(r.rankedVMs())
 	ranked = ranked[:min(watchCandidates, len(ranked))]
 	return slices.DeleteFunc(ranked, func(vm levermsg.VM) bool { return vm.ID == r.Self })
 }
@@ -361,12 +387,18 @@
 	if err := req.Decode(&f); err != nil {
 		return err
 	}
+	if f.OnlyVMs {
+		return r.serveVMs(req)
+	}
 	for {
-		u, changed := r.Mirror.Since(f.Epoch, f.Seq)
-		if err := req.Reply(u, false); err != nil {
+		body, next, changed, err := r.Mirror.Encoded(f)
+		if err != nil {
 			return err
 		}
-		f.Epoch, f.Seq = u.Epoch, u.Seq
+		if err := req.Reply(body, false); err != nil {
+			return err
+		}
+		f = next
 		if !r.Timer.Sleep(req.Ctx, minReplyInterval) {
 			return nil
 		}
