internal/leverpool: responses without end are bounded in bytes, and closed

Cause: the head of a response had no limit; a body without end was read up to 8 MiB for each connection, so that a fan-out's connections together exceed a VM's memory; after an invalid head or body net/http's Close read the rest of a chunked body, which blocked the connection's read loop for ever. Change: at most 64 KiB of head, informational responses included; large bodies are counted as they arrive against a tenth of the VM's memory, together; a body that failed is not closed but its connection is.

--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -41,6 +41,9 @@
 	// inFlightPerMB is the maximum number of requests in flight per MiB of the
 	// VM's memory. A fan-out over 90 shards holds about 130 KB.
 	inFlightPerMB = 4
+	// bodyFraction of the VM's memory may be taken by large responses of upstreams
+	// that are being received.
+	bodyFraction = 0.1
 	// storeConnTimeout bounds connecting to the store. It is also the idle
 	// time and the interval of the keep-alive probes that close a connection
 	// on which the store no longer responds.
@@ -88,6 +91,7 @@
 		Store:    platform.NewStore(s.Platform.Address, storeClient(), log.For("store")),
 		Protocol: platform.Protocol{}, Log: log, PeerKeys: leverpeer.NewKeys(s.Platform.Address),
 		Seeds: seeds(s), Terms: budgetTerms(s), Metrics: e.metrics, MaxInFlight: s.Limits.MemoryMB * inFlightPerMB,
+		MaxBodyBytes: int64(bodyFraction * float64(s.Limits.MemoryMB<<20)),
 	})
 	e.gate = &levergate.Gate{Node: e.node, Log: e.log, Ready: &platform.Ready{Ready: e.node.Ready}}
 	e.gate.Callers = &platform.CallerHandler{Engine: e.node.Engine(), CallerRTT: e.gate.CallerRTT, BodyLimit: e.bodyLimit, Closing: e.node.Stopping}
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -79,6 +79,9 @@
 	Metrics  *levermetric.Set
 	// MaxInFlight is the maximum number of concurrent requests, 0 for no limit.
 	MaxInFlight int
+	// MaxBodyBytes is the maximum memory, in bytes, of large responses that are
+	// being received, 0 for a default.
+	MaxBodyBytes int64
 	// MaxConnsPerUpstream is the maximum number of connections to one upstream,
 	// 0 for no limit other than that of the service.
 	MaxConnsPerUpstream int
@@ -139,7 +142,7 @@
 	directory := &leverdirectory.Directory{}
 	n.engine = &leverengine.Engine{
 		Domain: o.Self.Domain, Timer: n.timer, Log: o.Log.For("engine"), Directory: directory,
-		Health: &leverhealth.Tracker{}, Budget: n.budget, Pool: &leverpool.Pool{Dial: o.Dial}, Protocol: o.Protocol,
+		Health: &leverhealth.Tracker{}, Budget: n.budget, Pool: &leverpool.Pool{Dial: o.Dial, MaxBodyBytes: o.MaxBodyBytes}, Protocol: o.Protocol,
 		ConnectionShares: n.shares, Current: n.mirror.Current, Crashes: &levercrash.Guard{}, OnCrashLevel: n.queueCrashReport, Metrics: o.Metrics,
 		MaxInFlight: o.MaxInFlight, MaxConnsPerUpstream: o.MaxConnsPerUpstream, Events: n.events,
 	}
--- a/internal/leverpool/conn.go
+++ b/internal/leverpool/conn.go
@@ -13,12 +13,8 @@
 	"github.com/juju/errors"
 )
 
-const (
-	// maxResponseBody bounds the body of a response in bytes.
-	maxResponseBody = 8 << 20
-	// readBufferSize, in bytes, fits the head of a response and a small body.
-	readBufferSize = 4 << 10
-)
+// readBufferSize, in bytes, fits the head of a response and a small body.
+const readBufferSize = 4 << 10
 
 // conn is a connection to an upstream. Its read loop never pauses, so that a
 // closed connection and unexpected bytes are detected at once.
@@ -26,7 +22,9 @@
 	net.Conn
 	pool *Pool
 	host *host
-	r    *bufio.Reader
+	// r reads from source. Only the read loop uses them.
+	r      *bufio.Reader
+	source *source
 	// idleSince and idleLimit are guarded by the pool's mutex.
 	idleSince time.Time
 	idleLimit time.Duration
@@ -47,7 +45,8 @@
 	p.mu.Lock()
 	p.stats.Dialed++
 	p.mu.Unlock()
-	return &conn{Conn: raw, pool: p, host: h, r: bufio.NewReaderSize(raw, readBufferSize), idleLimit: defaultIdleLimit}
+	s := &source{Reader: raw}
+	return &conn{Conn: raw, pool: p, host: h, r: bufio.NewReaderSize(s, readBufferSize), source: s, idleLimit: defaultIdleLimit}
 }
 
 func (c *conn) close() {
@@ -96,6 +95,7 @@
 // readOne reads one response and delivers it. It returns false if the
 // connection can't be used any more.
 func (c *conn) readOne() bool {
+	c.source.beginHead()
 	_, err := c.r.Peek(1)
 	if err != nil {
 		// From here on setPending returns false.
@@ -158,14 +158,18 @@
 	if err != nil {
 		return nil, false, readError(err)
 	}
-	defer resp.Body.Close()
+	c.source.endHead()
+	// The body is not closed after an error: Close would read the rest, which may
+	// have no end. The caller closes the connection instead.
 	if err := x.checkHead(resp); err != nil {
 		return nil, false, errors.Annotate(ErrBadResponse, err.Error())
 	}
 	reply := &Reply{Status: resp.StatusCode, Header: resp.Header}
-	if reply.Body, err = readBody(resp); err != nil {
+	if reply.Body, err = c.pool.readBody(resp); err != nil {
 		return nil, false, errors.Annotate(ErrBadResponse, err.Error())
 	}
+	// A complete body has no rest.
+	_ = resp.Body.Close()
 	limit := idleLimit(resp.Header)
 	c.pool.mu.Lock()
 	c.idleLimit = limit
@@ -175,24 +179,6 @@
 	return reply, !resp.Close && limit > 0 && c.written() && c.r.Buffered() == 0, nil
 }
 
-func readBody(resp *http.Response) ([]byte, error) {
-	if resp.Body == http.NoBody {
-		// The stated length may be that of a body which a HEAD request does not
-		// get.
-		return nil, nil
-	}
-	if resp.ContentLength >= 0 && resp.ContentLength <= maxResponseBody {
-		b := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, b)
-		return b, err
-	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBody+1))
-	if err == nil && len(b) > maxResponseBody {
-		err = errors.Errorf("response body over %d bytes", maxResponseBody)
-	}
-	return b, err
-}
-
 // readHead reads the head of a response and skips informational (1xx) ones.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	for {
@@ -206,7 +192,7 @@
 // readError distinguishes an invalid or truncated response from a connection
 // that closed before one.
 func readError(err error) error {
-	if strings.Contains(err.Error(), "malformed") || errors.Is(err, io.ErrUnexpectedEOF) {
+	if strings.Contains(err.Error(), "malformed") || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errHeadTooLong) {
 		return errors.Annotate(ErrBadResponse, err.Error())
 	}
 	return errors.Annotate(ErrReset, err.Error())
--- a/internal/leverpool/pool.go
+++ b/internal/leverpool/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverdirectory"
@@ -68,6 +69,11 @@
 type Pool struct {
 	// Dial replaces the TCP dialer in tests.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// MaxBodyBytes bounds the memory of large bodies that are being received, in
+	// bytes; 0 means 64 MiB. A call whose body would exceed it fails.
+	MaxBodyBytes int64
+
+	bodyBytes atomic.Int64
 
 	mu    sync.Mutex
 	hosts map[leverdirectory.Key]*host
--- a/internal/leverrelay/encode_test.go
+++ b/internal/leverrelay/encode_test.go
@@ -97,7 +97,7 @@
 		}
 		f.Add([]byte(body))
 	}
-	f.Fuzz(func(t *testing.T, body []byte) {
+	f.Fuzz(func(_ *testing.T, body []byte) {
 		u, err := leverrelay.DecodeUpdate(body)
 		if err == nil {
 			newRecorder().Merge(u)
