internal/leverrelay: a VM that watches for lack of a parent goes on and offers itself

A VM that followed another one than its parent left it every 2 s, path or not. Change: such a VM watches until a parent has a path, and offers itself to the candidates, through which the tree gets its path; a VM stays with a fallback until its parent has a path.

--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -255,6 +255,12 @@
 // Engine returns the engine that runs requests.
 func (n *Node) Engine() *leverengine.Engine { return n.engine }
 
+// WatchCandidates returns the other VMs that may watch the store on behalf of all.
+func (n *Node) WatchCandidates() []levermsg.VM { return n.relay.WatchCandidates() }
+
+// WatchesStore reports whether this VM watches the store.
+func (n *Node) WatchesStore() bool { return n.relay.IsWatching() }
+
 // Ready reports whether the VM accepts requests.
 func (n *Node) Ready() bool { return !n.stopping.Load() && n.engine.Directory.View().Usable() }
 
--- a/internal/levernode/peers.go
+++ b/internal/levernode/peers.go
@@ -59,6 +59,8 @@
 		return d.node.relay.Serve(r)
 	case leverpeer.KindRun:
 		return d.node.delegate.Serve(r)
+	case leverpeer.KindOffer:
+		return d.node.relay.ServeOffer(r)
 	case leverpeer.KindBranch:
 		return d.node.branches.Serve(r)
 	case leverpeer.KindCall:
--- a/internal/leverpeer/frame.go
+++ b/internal/leverpeer/frame.go
@@ -60,6 +60,8 @@
 	KindCall Kind = 12
 	// KindBranch asks the VM to run parts of a fan-out.
 	KindBranch Kind = 13
+	// KindOffer offers the VM to follow the sender, which watches the store.
+	KindOffer Kind = 14
 )
 
 // CallID identifies a call within its connection.
--- a/internal/leverrelay/mirror.go
+++ b/internal/leverrelay/mirror.go
@@ -150,6 +150,13 @@
 	m.notifyWaiters()
 }
 
+// Path returns the VMs that connect this VM to the store.
+func (m *Mirror) Path() []leverid.VMID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.path
+}
+
 // Current reports whether this VM has a connection to the store, directly or
 // through parents. As far as it can tell, its copy is then up to date.
 func (m *Mirror) Current() bool {
--- a/internal/leverrelay/relay.go
+++ b/internal/leverrelay/relay.go
@@ -53,6 +53,8 @@
 	Packed bool `msgpack:"k,omitempty"`
 	// OnlyVMs asks for the list of VMs only, in one update.
 	OnlyVMs bool `msgpack:"v,omitempty"`
+	// OnlyPath asks for the path to the store only, in one update.
+	OnlyPath bool `msgpack:"p,omitempty"`
 }
 
 // Relay keeps a VM's copy of the store up to date, by watching the store or by
@@ -80,6 +82,7 @@
 	// one.
 	orphanSince time.Time
 	watching    bool
+	offers      offers
 	// ranked is the order of live, the live VMs that it was computed for.
 	live, ranked []levermsg.VM
 }
@@ -108,6 +111,9 @@
 		}
 		r.setWatching(stop != nil)
 		r.Mirror.SetPath(r.path(stop != nil))
+		if stop != nil && r.StoreCurrent() && r.rank() >= watchCandidates {
+			r.offerPath(ctx)
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -143,7 +149,7 @@
 
 // shouldWatch reports whether this VM should watch the store itself. It should
 // if it has the first rank, or if it has no parent with a path to the store and
-// is a candidate or has waited for orphanTimeout.
+// is a candidate, or watches already, or has waited for orphanTimeout.
 func (r *Relay) shouldWatch(now, started time.Time, jitter time.Duration) bool {
 	if r.Members.Len() == 0 {
 		// No other VM is known yet.
@@ -158,7 +164,8 @@
 	if len(r.parentPath) > 0 {
 		return false
 	}
-	return rank < watchCandidates || !r.orphanSince.IsZero() && now.Sub(r.orphanSince) > orphanTimeout+jitter
+	// A VM that watches for lack of a parent goes on until it has one.
+	return rank < watchCandidates || r.watching || !r.orphanSince.IsZero() && now.Sub(r.orphanSince) > orphanTimeout+jitter
 }
 
 func (r *Relay) isSeed() bool {
@@ -251,15 +258,15 @@
 			r.Timer.Sleep(ctx, checkInterval)
 			continue
 		}
-		for _, vm := range append(r.parents(), r.fallbackParents()...) {
+		for _, vm := range append(r.offers.take(r.Timer.Now()), append(r.parents(), r.fallbackParents()...)...) {
 			f := positions[vm.ID]
 			f.Packed = true
-			r.follow(ctx, vm, &f)
+			r.followUntilOffer(ctx, vm, &f)
 			if len(positions) > maxSavedPositions {
 				clear(positions)
 			}
 			positions[vm.ID] = f
-			if r.IsWatching() && r.StoreCurrent() {
+			if r.IsWatching() && r.StoreCurrent() || r.offers.waiting() {
 				break
 			}
 		}
@@ -272,8 +279,8 @@
 func (r *Relay) isLeader() bool { return r.rank() == 0 && r.IsWatching() && r.StoreCurrent() }
 
 // follow applies a parent's updates until the call fails or the parent has no
-// path to the store. A VM that is not the preferred parent is left at the first
-// check after fallbackTimeout.
+// path to the store. A VM that is not the preferred parent is left after
+// fallbackTimeout, as soon as the preferred one has a path.
 func (r *Relay) follow(ctx context.Context, vm levermsg.VM, f *FollowRequest) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -291,10 +298,16 @@
 		timedOut := waitCtx.Err() != nil
 		stop()
 		if err != nil && timedOut && ctx.Err() == nil {
-			if r.hasPath() && !r.isLeader() && (r.isParent(vm) || r.Timer.Now().Sub(started) < fallbackTimeout) {
-				continue
+			if !r.hasPath() || r.isLeader() {
+				return
 			}
-			return
+			if !r.isParent(vm) && r.Timer.Now().Sub(started) >= fallbackTimeout {
+				if r.parentHasPath(ctx) {
+					return
+				}
+				started = r.Timer.Now()
+			}
+			continue
 		}
 		if err != nil {
 			r.Log.Debug("updates from the parent ended", "parent", vm.ID, "err", err)
@@ -390,6 +403,9 @@
 	if f.OnlyVMs {
 		return r.serveVMs(req)
 	}
+	if f.OnlyPath {
+		return req.Reply(&Update{Path: r.Mirror.Path()}, true)
+	}
 	for {
 		body, next, changed, err := r.Mirror.Encoded(f)
 		if err != nil {
