internal/levernode, leverrelay: fewer calls of the store at starts and failovers

Change: a VM that finds its own entry in the list does not write it; a watch candidate waits 100 ms for each candidate before it; VMs without an answer from a seed read the store after 350 to 550 ms, orphans after 300 ms and up to 5 ms a VM.

--- a/internal/levernode/life.go
+++ b/internal/levernode/life.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverbudget"
@@ -16,6 +17,11 @@
 	// registerRetry is the pause before a failed write of the VM's own entry is
 	// retried.
 	registerRetry = time.Second
+	// listWait is how long a VM that has just started waits for the list of VMs. If
+	// the list has its entry from before a restart, it does not write it again.
+	listWait = 1500 * time.Millisecond
+	// listPollInterval is how often it looks for the list.
+	listPollInterval = 50 * time.Millisecond
 	// probeInterval is the interval of the probes of peers that are down.
 	probeInterval = 500 * time.Millisecond
 	// probeTimeout limits such a probe.
@@ -45,11 +51,23 @@
 
 func (n *Node) runPeers(ln net.Listener) { n.server.Run(ln) }
 
-// runRegister writes this VM's own entry, and writes it again when it has been
-// removed.
+// awaitOwnEntry waits for the list of VMs and reports whether it has this VM's
+// entry.
+func (n *Node) awaitOwnEntry(ctx context.Context) bool {
+	until := n.timer.Now().Add(listWait)
+	for n.members.Len() == 0 && n.timer.Now().Before(until) && n.timer.Sleep(ctx, listPollInterval) {
+	}
+	return slices.Contains(n.members.List(), n.opts.Self)
+}
+
+// runRegister writes this VM's own entry unless the list has it already, and writes
+// it again when it has been removed.
 func (n *Node) runRegister(ctx context.Context) {
+	listed := n.awaitOwnEntry(ctx)
 	for {
-		if err := n.opts.Store.Register(ctx, n.opts.Self); err != nil {
+		if listed {
+			listed = false
+		} else if err := n.opts.Store.Register(ctx, n.opts.Self); err != nil {
 			n.log.Warn("this VM's entry could not be written", "err", err)
 			if !n.timer.Sleep(ctx, n.timer.Jitter(registerRetry, 0.3)) {
 				return
--- a/internal/leverrelay/relay.go
+++ b/internal/leverrelay/relay.go
@@ -25,16 +25,22 @@
 	maxChildren = 32
 	// checkInterval is how often a VM decides whether to watch the store itself.
 	checkInterval = 50 * time.Millisecond
-	// orphanTimeout is how long a VM without a path to the store waits before it
-	// watches the store itself, plus a random part of orphanJitter.
-	orphanTimeout = 500 * time.Millisecond
-	orphanJitter  = 1500 * time.Millisecond
+	// candidateDelay is how long a watch candidate without a path to the store waits
+	// for each candidate before it.
+	candidateDelay = 100 * time.Millisecond
+	// orphanTimeout is how long another VM without a path to the store waits before it
+	// watches the store itself, plus a random part of orphanJitterPerVM for each VM
+	// of the fleet, at most maxOrphanJitter. The first one offers itself to the
+	// others.
+	orphanTimeout     = 300 * time.Millisecond
+	orphanJitterPerVM = 5 * time.Millisecond
+	maxOrphanJitter   = 1500 * time.Millisecond
 	// seedTimeout is how long a VM that has just started waits for its seeds
 	// before it watches the store itself.
-	// It adds its jitter divided by seedJitterFraction, so that many VMs do not
-	// read the store at once.
-	seedTimeout        = 450 * time.Millisecond
-	seedJitterFraction = 5
+	// It adds a random part of seedJitter, so that many VMs do not read the store at
+	// once.
+	seedTimeout = 350 * time.Millisecond
+	seedJitter  = 200 * time.Millisecond
 	// retryDelay is the mean delay before the parents are tried again.
 	retryDelay = 100 * time.Millisecond
 	// fallbackParents is the number of other VMs that a VM follows in turn while
@@ -92,7 +98,7 @@
 	r.orphanSince = r.Timer.Now()
 	go r.runFollow(ctx)
 	started := r.Timer.Now()
-	jitter := r.Timer.Jitter(orphanJitter/2, 1)
+	jitter := float64(r.Timer.Jitter(time.Second/2, 1)) / float64(time.Second)
 	ticker := r.Timer.Every(checkInterval)
 	defer ticker.Stop()
 	var stop context.CancelFunc
@@ -149,23 +155,28 @@
 
 // shouldWatch reports whether this VM should watch the store itself. It should
 // if it has the first rank, or if it has no parent with a path to the store and
-// is a candidate, or watches already, or has waited for orphanTimeout.
-func (r *Relay) shouldWatch(now, started time.Time, jitter time.Duration) bool {
+// watches already, or has waited: a candidate for those before it, another VM for
+// orphanTimeout and its part, jitter in [0, 1), of the random time after that.
+func (r *Relay) shouldWatch(now, started time.Time, jitter float64) bool {
 	if r.Members.Len() == 0 {
 		// No other VM is known yet.
-		return len(r.Seeds) == 0 || r.isSeed() || now.Sub(started) > seedTimeout+jitter/seedJitterFraction
+		return len(r.Seeds) == 0 || r.isSeed() || now.Sub(started) > seedTimeout+time.Duration(jitter*float64(seedJitter))
 	}
 	rank := r.rank()
 	if rank == 0 {
 		return true
 	}
+	patience := time.Duration(rank) * candidateDelay
+	if rank >= watchCandidates {
+		patience = orphanTimeout + time.Duration(jitter*float64(min(time.Duration(r.Members.Len())*orphanJitterPerVM, maxOrphanJitter)))
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.parentPath) > 0 {
 		return false
 	}
 	// A VM that watches for lack of a parent goes on until it has one.
-	return rank < watchCandidates || r.watching || !r.orphanSince.IsZero() && now.Sub(r.orphanSince) > orphanTimeout+jitter
+	return r.watching || !r.orphanSince.IsZero() && now.Sub(r.orphanSince) > patience
 }
 
 func (r *Relay) isSeed() bool {
