--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -30,6 +30,10 @@
 	// reloadInterval is the interval at which the settings file is read, because
 	// it may change without a SIGHUP.
 	reloadInterval = 2 * time.Second
+	// settingsWait is how long a process that starts waits for a valid settings file.
+	settingsWait = 3 * time.Second
+	// settingsPollInterval is how often it reads the file meanwhile.
+	settingsPollInterval = 50 * time.Millisecond
 	// metricsPort is the port for metrics given in deploy/system.toml.
 	metricsPort = "9464"
 	// metricsHeaderTimeout bounds reading the headers of a request for metrics.
@@ -55,13 +59,25 @@
 // runEntry serves the protocols of package platform until a signal ends it.
 func runEntry([]string) error {
 	path := os.Getenv(platform.SettingsVariable)
-	s, err := platform.LoadSettings(path)
+	s, err := awaitSettings(path, time.Now().Add(settingsWait))
 	if err != nil {
 		return err
 	}
 	return newEntry(path, s).serve()
 }
 
+// awaitSettings reads the settings file again until it is valid or the time until
+// has come, because it may just be being written. The error is the last one.
+func awaitSettings(path string, until time.Time) (*platform.Settings, error) {
+	for {
+		s, err := platform.LoadSettings(path)
+		if err == nil || !time.Now().Before(until) {
+			return s, errors.Annotatef(err, "settings still invalid after %s", settingsWait)
+		}
+		time.Sleep(settingsPollInterval)
+	}
+}
+
 // entry serves the protocols of package platform (levernode).
 type entry struct {
 	path     string
