internal/leverengine, leverrelay: split by job; one message for a request between VMs

The message that hands a request to a runner and that of a branch share their fields (leverengine.Forwarded); the names on the wire stay. part.go, hedge.go and rank.go come out of fanout.go and relay.go. No change of behaviour.

--- a/internal/leverbranch/call.go
+++ b/internal/leverbranch/call.go
@@ -45,9 +45,7 @@
 	now := b.Timer.Now()
 	// The fields are strings, numbers and bytes, so encoding can't fail.
 	common, _ := msgpack.Marshal(&commonRequest{
-		ShardsHash: req.ShardsHash, ID: req.ID, Method: req.Method, Host: req.Host, URI: req.URI, Path: req.Path,
-		Header: req.Header, Body: req.Body, CallerTimeout: req.CallerTimeout, Age: now.Sub(req.Received),
-		ReportIn: req.ReportAt.Sub(now), PriorAttempts: req.PriorAttempts, Overrides: req.Overrides,
+		Forwarded: leverengine.Forward(req.Request, now), ShardsHash: req.ShardsHash, ReportIn: req.ReportAt.Sub(now),
 	})
 	calls := make([]leverengine.BranchCall, len(list))
 	for i, branch := range list {
--- a/internal/leverbranch/message.go
+++ b/internal/leverbranch/message.go
@@ -1,11 +1,9 @@
 package leverbranch
 
 import (
-	"net/http"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverengine"
-	"arbutuslever.dev/lever/internal/leverid"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -19,22 +17,10 @@
 
 // commonRequest is what all branches of a request have in common.
 type commonRequest struct {
-	ShardsHash uint64            `msgpack:"s"`
-	ID         leverid.RequestID `msgpack:"i"`
-	Method     string            `msgpack:"m"`
-	Host       string            `msgpack:"h"`
-	URI        string            `msgpack:"u"`
-	Path       string            `msgpack:"p"`
-	Header     http.Header       `msgpack:"e"`
-	Body       []byte            `msgpack:"b,omitempty"`
-	// CallerTimeout is the caller's total timeout, Age the part of it that has
-	// passed.
-	CallerTimeout time.Duration `msgpack:"w"`
-	Age           time.Duration `msgpack:"a"`
+	leverengine.Forwarded
+	ShardsHash uint64 `msgpack:"s"`
 	// ReportIn is the time until the first report is due.
-	ReportIn      time.Duration          `msgpack:"r"`
-	PriorAttempts int                    `msgpack:"n,omitempty"`
-	Overrides     *leverengine.Overrides `msgpack:"x,omitempty"`
+	ReportIn time.Duration `msgpack:"r"`
 }
 
 // branchReply is a message to the sender. The first one accepts or declines the
--- a/internal/leverbranch/serve.go
+++ b/internal/leverbranch/serve.go
@@ -28,16 +28,11 @@
 	}
 	p := &permission{request: req, timer: b.Timer, finished: make(chan struct{})}
 	now := b.Timer.Now()
+	request := common.Request(now)
+	request.Confirmed = p.granted
 	r := &leverengine.SubRequest{
-		BranchRequest: leverengine.BranchRequest{
-			Request: &leverengine.Request{
-				ID: common.ID, Method: common.Method, Host: common.Host, URI: common.URI, Path: common.Path, Header: common.Header,
-				Body: common.Body, CallerTimeout: common.CallerTimeout, Received: now.Add(-common.Age),
-				PriorAttempts: common.PriorAttempts, Overrides: common.Overrides, Confirmed: p.granted,
-			},
-			ShardsHash: common.ShardsHash, ReportAt: now.Add(common.ReportIn),
-		},
-		Parts: m.Parts, Finished: p.finished,
+		BranchRequest: leverengine.BranchRequest{Request: request, ShardsHash: common.ShardsHash, ReportAt: now.Add(common.ReportIn)},
+		Parts:         m.Parts, Finished: p.finished,
 	}
 	reason := b.Engine.CanRunBranch(r)
 	if b.Stopping() {
--- a/internal/leverdelegate/delegate.go
+++ b/internal/leverdelegate/delegate.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -58,21 +57,10 @@
 type runRequest struct {
 	// Version is the version of the sender's configuration.
 	Version leverid.ConfigVersion `msgpack:"v"`
-	ID      leverid.RequestID     `msgpack:"i"`
-	Method  string                `msgpack:"m"`
-	Host    string                `msgpack:"h"`
-	URI     string                `msgpack:"u"`
-	Path    string                `msgpack:"p"`
-	Header  http.Header           `msgpack:"e"`
-	Body    []byte                `msgpack:"b"`
-	// CallerTimeout is the caller's total timeout, Age the part of it that has passed.
-	CallerTimeout time.Duration `msgpack:"w"`
-	Age           time.Duration `msgpack:"a"`
+	leverengine.Forwarded
 	// CallerRTT is the round-trip time between the caller and the runner. It
 	// includes returnMargin and the sender's own lag.
-	CallerRTT     time.Duration          `msgpack:"y"`
-	PriorAttempts int                    `msgpack:"n"`
-	Overrides     *leverengine.Overrides `msgpack:"x,omitempty"`
+	CallerRTT time.Duration `msgpack:"y"`
 }
 
 // runReply is a runner's message to the sender. The first one accepts or
@@ -294,9 +282,8 @@
 	acceptCtx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	call, err := d.Peers.Call(acceptCtx, vm, leverpeer.KindRun, &runRequest{
-		Version: v, ID: req.ID, Method: req.Method, Host: req.Host, URI: req.URI, Path: req.Path,
-		Header: req.Header, Body: req.Body, CallerTimeout: req.CallerTimeout, Age: d.Timer.Now().Sub(req.Received),
-		CallerRTT: req.CallerRTT + returnMargin + d.Engine.AnswerLag(), PriorAttempts: req.PriorAttempts, Overrides: req.Overrides,
+		Version: v, Forwarded: leverengine.Forward(req, d.Timer.Now()),
+		CallerRTT: req.CallerRTT + returnMargin + d.Engine.AnswerLag(),
 	})
 	if err != nil {
 		d.quarantine(vm.ID)
@@ -359,11 +346,10 @@
 	if err := req.Reply(&runReply{}, false); err != nil {
 		return err
 	}
-	out := d.Engine.RunLocally(req.Ctx, &leverengine.Request{
-		ID: m.ID, Method: m.Method, Host: m.Host, URI: m.URI, Path: m.Path, Header: m.Header, Body: m.Body,
-		CallerTimeout: m.CallerTimeout, Received: d.Timer.Now().Add(-m.Age), CallerRTT: m.CallerRTT, PriorAttempts: m.PriorAttempts, Overrides: m.Overrides,
-		Confirmed: (&confirmation{signals: req.Signals}).seen,
-	})
+	run := m.Request(d.Timer.Now())
+	run.CallerRTT = m.CallerRTT
+	run.Confirmed = (&confirmation{signals: req.Signals}).seen
+	out := d.Engine.RunLocally(req.Ctx, run)
 	defer d.Engine.Written(out)
 	return req.Reply(newRunReply(out), true)
 }
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -47,49 +47,6 @@
 	notRunLimit = 3
 )
 
-// part is the state of one shard of a fan-out, or of the only service of a
-// request without fan-out.
-type part struct {
-	service leverid.ServiceID
-	// index is that of the shard in the route.
-	index int
-	done  bool
-	// branched is set while another VM runs the part.
-	branched bool
-	// exhausted is set when no attempt is in flight and no more are allowed.
-	exhausted bool
-	signature string
-	reply     *leverpool.Reply
-	tried     []*leverdirectory.Upstream
-	inFlight  int
-	// possibleRuns counts the attempts that have run or may still run,
-	// possibleArrivals the ended ones that may have reached an upstream, and
-	// notRun those that did not run.
-	possibleRuns, possibleArrivals, notRun int
-	// retryAt is when the next attempt is due; zero if none is scheduled.
-	retryAt time.Time
-	// held is set while the part, after a reset, waits for the retry of another
-	// part.
-	held bool
-	// slow is set if the call that settled the part was slow.
-	slow bool
-	// absent counts the upstreams that do not have what was requested, resets
-	// those that closed the connection without a complete response.
-	absent, resets int
-}
-
-// maxRuns returns the maximum number of upstreams that a part may run on.
-func (f *fanout) maxRuns() int { return max(f.route.MaxAttempts-f.req.PriorAttempts, 1) }
-
-// confirmed reports whether a part may get more than one attempt that runs.
-func (f *fanout) confirmed() bool { return f.req.Confirmed == nil || f.req.Confirmed() }
-
-// maxSends returns the maximum number of attempts for a part, including those
-// that did not run.
-func (f *fanout) maxSends() int { return max(f.route.MaxAttempts, 1) + additionalSends }
-
-func (p *part) settled() bool { return p.done || p.exhausted }
-
 // fanout is one request in progress. Its methods run on the request's goroutine,
 // except that cancel also runs on a timer's goroutine and recordStatus on that
 // of a call.
@@ -309,54 +266,6 @@
 	return at
 }
 
-// onTimer starts the retries and hedges that are due.
-func (f *fanout) onTimer(now time.Time) {
-	for i := range f.parts {
-		p := &f.parts[i]
-		if p.settled() || p.branched {
-			continue
-		}
-		if !p.retryAt.IsZero() && !now.Before(p.retryAt) {
-			p.retryAt = time.Time{}
-			f.startAttempt(i, p.possibleArrivals > 0)
-		}
-	}
-	f.doubleOverdue(now)
-	if !now.Before(f.hedgeAt) {
-		f.hedge(now)
-	}
-}
-
-// hedge starts a second attempt for each part that has exactly one attempt in
-// flight, if another upstream is usable and the budget allows it. It does not
-// check how long the first attempt has been in flight.
-func (f *fanout) hedge(now time.Time) {
-	f.hedgeAt = f.hedgeAt.Add(f.engine.Health.SlowAfter(f.class))
-	if !f.route.Repeatable || f.trial || f.retrying {
-		return
-	}
-	for i := range f.parts {
-		p := &f.parts[i]
-		if p.settled() || p.inFlight != 1 || p.possibleRuns >= f.maxRuns() || len(p.tried) >= f.maxSends() {
-			continue
-		}
-		if !f.confirmed() {
-			f.hedgeAt = now.Add(confirmPollInterval)
-			return
-		}
-		u, expected := f.pickUpstream(p, now)
-		if u == nil || !leverhealth.Usable(expected) {
-			continue
-		}
-		if !f.engine.Budget.Take(p.service, leverbudget.Hedge, now) {
-			f.recordDenied("hedge", i)
-			continue
-		}
-		f.hedged++
-		f.recordExtra("hedge", f.send(i, u, now), "slow at "+string(p.tried[len(p.tried)-2].ID))
-	}
-}
-
 // startAttempt starts an attempt for a part, or schedules it if there is no
 // upstream. Extra attempts are charged to the retry budget.
 func (f *fanout) startAttempt(i int, extra bool) {
