internal/levernode: in an outage of the store the VMs that do not watch for all make one call at a time

Change: such a VM follows the configuration first and the others when the store has answered; its random wait grows by 10 ms a VM, at most 3 s. The first that gets an answer offers itself to the others, so that nobody waits longer for it.

--- a/internal/leverengine/hedge.go
+++ b/internal/leverengine/hedge.go
@@ -54,4 +54,3 @@
 		f.recordExtra("hedge", f.send(i, u, now), "slow at "+string(p.tried[len(p.tried)-2].ID))
 	}
 }
-
--- a/internal/leverengine/part.go
+++ b/internal/leverengine/part.go
@@ -50,4 +50,3 @@
 func (f *fanout) maxSends() int { return max(f.route.MaxAttempts, 1) + additionalSends }
 
 func (p *part) settled() bool { return p.done || p.exhausted }
-
--- a/internal/levernode/follow.go
+++ b/internal/levernode/follow.go
@@ -26,6 +26,9 @@
 	// When it is exceeded, a VM that is cut off from the store detects that,
 	// and another VM takes over.
 	configWatchGrace = 600 * time.Millisecond
+	// firstAnswerPollInterval is how often a VM that is not a watch candidate looks
+	// whether the store has answered its first call.
+	firstAnswerPollInterval = 10 * time.Millisecond
 	// upstreamHold is how long this VM keeps the entries of upstreams that are
 	// missing after an outage. They register again within about two seconds.
 	upstreamHold = 2200 * time.Millisecond
@@ -113,6 +116,13 @@
 		n.suspectOutage()
 	}
 	go n.runConfigs(ctx)
+	// Other VMs than the candidates make one call at a time while the store does not
+	// answer, as in an outage all of them try.
+	for !n.relay.IsWatchCandidate() && !n.configs.Current() {
+		if !n.timer.Sleep(ctx, firstAnswerPollInterval) {
+			return
+		}
+	}
 	go n.runVMs(ctx)
 	n.upstreams.Run(ctx)
 }
--- a/internal/leverrelay/rank.go
+++ b/internal/leverrelay/rank.go
@@ -74,4 +74,3 @@
 	}
 	return out
 }
-
--- a/internal/leverrelay/relay.go
+++ b/internal/leverrelay/relay.go
@@ -32,8 +32,8 @@
 	// of the fleet, at most maxOrphanJitter. The first one offers itself to the
 	// others.
 	orphanTimeout     = 300 * time.Millisecond
-	orphanJitterPerVM = 5 * time.Millisecond
-	maxOrphanJitter   = 1500 * time.Millisecond
+	orphanJitterPerVM = 10 * time.Millisecond
+	maxOrphanJitter   = 3 * time.Second
 	// seedTimeout is how long a VM that has just started waits for its seeds
 	// before it watches the store itself.
 	// It adds a random part of seedJitter, so that many VMs do not read the store at
