--- a/internal/leverbranch/branches.go
+++ b/internal/leverbranch/branches.go
@@ -43,6 +43,10 @@
 	Log     leverlog.Logger
 	// Stopping reports whether this VM declines branches of other VMs.
 	Stopping func() bool
+	// Paused reports whether this process was not running for a while until just
+	// now. It then declines branches of other VMs, which may be older than they
+	// state.
+	Paused func() bool
 
 	mu    sync.Mutex
 	state planState
--- a/internal/leverbranch/serve.go
+++ b/internal/leverbranch/serve.go
@@ -35,8 +35,11 @@
 		Parts:         m.Parts, Finished: p.finished,
 	}
 	reason := b.Engine.CanRunBranch(r)
-	if b.Stopping() {
+	switch {
+	case b.Stopping():
 		reason = "stopping"
+	case b.Paused():
+		reason = "was paused"
 	}
 	if reason != "" {
 		return req.Reply(&branchReply{Declined: reason}, true)
--- a/internal/leverdelegate/delegate.go
+++ b/internal/leverdelegate/delegate.go
@@ -112,6 +112,10 @@
 	Log     leverlog.Logger
 	// Stopping reports whether this VM declines requests of other VMs.
 	Stopping func() bool
+	// Paused reports whether this process was not running for a while until just
+	// now. It then declines requests of other VMs, which may be older than they
+	// state.
+	Paused func() bool
 
 	mu      sync.Mutex
 	live    []levermsg.VM
@@ -383,6 +387,8 @@
 	switch {
 	case d.Stopping():
 		return "stopping"
+	case d.Paused():
+		return "was paused"
 	case !view.Usable():
 		return "not ready"
 	case view.Config.Version != v:
--- a/internal/leverdelegate/delegate_test.go
+++ b/internal/leverdelegate/delegate_test.go
@@ -66,7 +66,7 @@
 	d := &leverdelegate.Delegate{
 		Self: list[0], Members: members, Peers: peers, Timer: timer, Log: leverlog.Logger{},
 		Engine:   &leverengine.Engine{Timer: timer, Directory: &leverdirectory.Directory{}},
-		Stopping: func() bool { return false },
+		Stopping: func() bool { return false }, Paused: func() bool { return false },
 	}
 	return d, func() {
 		peers.Close()
--- a/internal/levernode/life.go
+++ b/internal/levernode/life.go
@@ -45,8 +45,11 @@
 	go n.runRelay(ctx)
 	go n.runShares(ctx)
 	go n.runCrashes(ctx)
+	go n.runPauses(ctx)
 }
 
+func (n *Node) runPauses(ctx context.Context) { n.pauses.Run(ctx) }
+
 func (n *Node) runRelay(ctx context.Context) { n.relay.Run(ctx) }
 
 func (n *Node) runPeers(ln net.Listener) { n.server.Run(ln) }
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -117,6 +117,7 @@
 	upstreams *leverfeed.Follower[leverdirectory.Upstream]
 	vms       *leverfeed.Follower[levermsg.VM]
 	stopping  atomic.Bool
+	pauses    levertimer.PauseDetector
 	// lastContact is when another VM last sent a frame, or when the node was
 	// started, in Unix nanoseconds.
 	lastContact atomic.Int64
@@ -139,6 +140,7 @@
 		budget:   &leverbudget.Budget{Terms: o.Terms},
 		register: make(chan struct{}, 1), crashes: make(chan []levercrash.Entry, crashQueueSize),
 	}
+	n.pauses.Timer = n.timer
 	directory := &leverdirectory.Directory{}
 	n.engine = &leverengine.Engine{
 		Domain: o.Self.Domain, Timer: n.timer, Log: o.Log.For("engine"), Directory: directory,
@@ -174,11 +176,11 @@
 	}
 	n.delegate = &leverdelegate.Delegate{
 		Self: o.Self, Members: n.members, Peers: n.workPeers, Engine: n.engine, Timer: n.timer,
-		Log: o.Log.For("delegate"), Stopping: n.stopping.Load,
+		Log: o.Log.For("delegate"), Stopping: n.stopping.Load, Paused: n.pauses.Paused,
 	}
 	n.branches = &leverbranch.Branches{
 		Self: o.Self, Members: n.members, Peers: n.workPeers, Engine: n.engine, Timer: n.timer,
-		Log: o.Log.For("branch"), Stopping: n.stopping.Load,
+		Log: o.Log.For("branch"), Stopping: n.stopping.Load, Paused: n.pauses.Paused,
 	}
 	n.server = &leverpeer.Server{Self: o.Self, Keys: keys, Hooks: h, Timer: n.timer, Handler: &dispatcher{node: n}, Counters: n.counters}
 }
