internal/leverengine: a part that another VM may report is not given up; exact least coverage

Causes (seen by reading): a branch that was overdue while the budget allowed no attempt here counted as given up, so that the request ended without waiting for its report; the totals of attempts of branches were not added; coverage was compared in floats, so that with ten shards at 0.9 the loss of one ended the request. Change: parts are awaited as long as their branch is open; the least number of parts is computed once, rounded up. Result: TestDoubledBranchWithoutBudget and TestLeastCoverageIsExact fail before and pass.

--- a/internal/leverengine/branch.go
+++ b/internal/leverengine/branch.go
@@ -149,7 +149,7 @@
 	calls := e.Brancher.Start(req, plan, f.deliver)
 	for i, b := range plan {
 		for _, k := range b.Parts {
-			f.parts[k].branched = true
+			f.parts[k].branched, f.parts[k].awaited = true, true
 		}
 		f.branches = append(f.branches, branchState{Branch: b, call: calls[i], open: true})
 	}
@@ -276,13 +276,13 @@
 	}
 	f.hedged += r.Hedged - b.hedged
 	f.retried += r.Retried - b.retried
-	b.attempts, b.hedged, b.retried = r.Attempts, r.Hedged, r.Retried
 	f.branchAttempts += r.Attempts - b.attempts
+	b.attempts, b.hedged, b.retried = r.Attempts, r.Hedged, r.Retried
 	f.engine.Health.AdoptServiceTime(f.class, r.ServiceTime)
 	if !r.Final {
 		return
 	}
-	b.open = false
+	f.close(b)
 	for _, i := range b.Parts {
 		if p := &f.parts[i]; !p.done {
 			p.branched = false
@@ -292,10 +292,18 @@
 	}
 }
 
+// close records that a branch reports nothing more.
+func (f *fanout) close(b *branchState) {
+	b.open = false
+	for _, i := range b.Parts {
+		f.parts[i].awaited = false
+	}
+}
+
 // takeOver runs the remaining parts of a branch that has ended early. Those that
 // may have run as often as allowed are given up.
 func (f *fanout) takeOver(b *branchState, ev BranchEvent) {
-	b.open = false
+	f.close(b)
 	taken := 0
 	f.reason = ev.Err.Error()
 	for _, i := range b.Parts {
@@ -331,7 +339,7 @@
 		if !b.open {
 			continue
 		}
-		b.open = false
+		f.close(b)
 		f.branchesLeft = true
 		end(b.call)
 		for _, k := range b.Parts {
--- a/internal/leverengine/branch_test.go
+++ b/internal/leverengine/branch_test.go
@@ -30,10 +30,18 @@
 )
 
 // goodSender answers every call after upstreamTime.
-type goodSender struct{ calls map[leverid.ServiceID]int }
+type goodSender struct {
+	calls map[leverid.ServiceID]int
+	// failing is the shard whose upstreams reset all calls.
+	failing leverid.ServiceID
+}
 
 func (s *goodSender) Send(t leverpool.Target, _ *leverpool.Call, _ func() http.Header, checkHead func(*http.Response) error, done func(*leverpool.Reply, error)) leverengine.Exchange {
 	s.calls[t.Upstream.Service]++
+	if t.Upstream.Service == s.failing {
+		time.AfterFunc(upstreamTime, func() { done(nil, leverpool.ErrReset) })
+		return endedExchange{}
+	}
 	h := http.Header{"X-Request-Id": {"1"}, "Signature": {string(t.Upstream.Service)}}
 	time.AfterFunc(upstreamTime, func() {
 		if err := checkHead(&http.Response{StatusCode: http.StatusOK, Header: h}); err != nil {
@@ -234,6 +242,7 @@
 					own += n
 				}
 				is.Equal(own, c.own)
+				is.True(out.Attempts >= own)
 				time.Sleep(time.Second)
 			})
 		})
@@ -253,3 +262,42 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// TestDoubledBranchWithoutBudget has one branch overdue while the budget allows no
+// extra attempt. The request must wait for the branch's report.
+func TestDoubledBranchWithoutBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := &scriptedBrancher{script: func(b *scriptedBranch) {
+			if b.index == 1 {
+				b.send(leverengine.BranchEvent{Overdue: true})
+				time.Sleep(40 * time.Millisecond)
+			}
+			b.report(true, b.parts...)
+		}}
+		e := branchEngine(&goodSender{calls: make(map[leverid.ServiceID]int)}, b)
+		e.Budget.SetTerms(leverbudget.Terms{Window: 10 * time.Second})
+		out := e.Run(t.Context(), request(0, nil))
+		is.Equal(out.Verdict, leverengine.Merged)
+		is.Equal(out.Missing, 0)
+		time.Sleep(time.Second)
+	})
+}
+
+// TestLeastCoverageIsExact loses one of ten shards of a route that needs 0.9 of them.
+func TestLeastCoverageIsExact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &goodSender{calls: make(map[leverid.ServiceID]int), failing: "s3"}
+		e := branchEngine(s, nil)
+		e.Brancher = nil
+		c := *e.Directory.View().Config
+		c.Version, c.Routes = 2, []leverdirectory.Route{c.Routes[0]}
+		c.Routes[0].LeastCoverage = 0.9
+		e.Directory.SetConfig(&c)
+		out := e.Run(t.Context(), request(0, nil))
+		is.Equal(out.Verdict, leverengine.Merged)
+		is.Equal(out.Missing, 1)
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/leverengine/conclude.go
+++ b/internal/leverengine/conclude.go
@@ -1,6 +1,7 @@
 package leverengine
 
 import (
+	"math"
 	"time"
 
 	"arbutuslever.dev/lever/internal/levermerge"
@@ -24,7 +25,8 @@
 			settled++
 		}
 	}
-	enough := done > 0 && float64(done) >= f.route.LeastCoverage*float64(len(f.parts))
+	least := leastParts(f.route.LeastCoverage, len(f.parts))
+	enough := done >= least
 	switch {
 	case done == len(f.parts):
 		return f.merge(done, now)
@@ -34,12 +36,18 @@
 		return &Outcome{Verdict: Late, Reason: f.reason}
 	case f.trial && f.parts[f.trialPart].exhausted:
 		return f.failureOutcome()
-	case float64(settled-done) > (1-f.route.LeastCoverage)*float64(len(f.parts)):
+	case settled-done > len(f.parts)-least:
 		return f.failureOutcome()
 	}
 	return nil
 }
 
+// leastParts returns the least number of parts, of n, of an answer with a coverage.
+func leastParts(coverage float64, n int) int {
+	const roundingError = 1e-9 // of products such as 0.1 * 30
+	return max(int(math.Ceil(coverage*float64(n)-roundingError)), 1)
+}
+
 // partialDue reports whether an answer with the minimum coverage is returned now
 // rather than delayed for the missing parts: in a short window at the objective,
 // and again from lateFactor times the objective on.
--- a/internal/leverengine/part.go
+++ b/internal/leverengine/part.go
@@ -15,8 +15,9 @@
 	// index is that of the shard in the route.
 	index int
 	done  bool
-	// branched is set while another VM runs the part.
-	branched bool
+	// branched is set while only another VM makes attempts, awaited while another VM
+	// may report the part.
+	branched, awaited bool
 	// exhausted is set when no attempt is in flight and no more are allowed.
 	exhausted bool
 	signature string
@@ -49,4 +50,4 @@
 // that did not run.
 func (f *fanout) maxSends() int { return max(f.route.MaxAttempts, 1) + additionalSends }
 
-func (p *part) settled() bool { return p.done || p.exhausted }
+func (p *part) settled() bool { return p.done || p.exhausted && !p.awaited }
