internal/leverengine: the test of least coverage loses its shard first

TestLeastCoverageIsExact passed without the change, as the lost shard settled last; now its upstreams reset before the others answer, and it fails without the change.

--- a/internal/leverengine/branch_test.go
+++ b/internal/leverengine/branch_test.go
@@ -39,7 +39,7 @@
 func (s *goodSender) Send(t leverpool.Target, _ *leverpool.Call, _ func() http.Header, checkHead func(*http.Response) error, done func(*leverpool.Reply, error)) leverengine.Exchange {
 	s.calls[t.Upstream.Service]++
 	if t.Upstream.Service == s.failing {
-		time.AfterFunc(upstreamTime, func() { done(nil, leverpool.ErrReset) })
+		time.AfterFunc(upstreamTime/5, func() { done(nil, leverpool.ErrReset) })
 		return endedExchange{}
 	}
 	h := http.Header{"X-Request-Id": {"1"}, "Signature": {string(t.Upstream.Service)}}
