internal/leverfeed: a list that the store has lost is tried again after 0.75 s

Change: a list may take 0.75 s at first, and twice as long after each that took longer, up to 3 s, so that a slow store still gets its time.

--- a/internal/leverfeed/follower.go
+++ b/internal/leverfeed/follower.go
@@ -51,8 +51,11 @@
 	defaultWatchWait = 20 * time.Second
 	// defaultWatchGrace is how much longer than that a watch may take.
 	defaultWatchGrace = 2 * time.Second
-	// listTimeout bounds a list of a complete collection.
-	listTimeout = 3 * time.Second
+	// minListTimeout bounds a list of a complete collection. It doubles, up to
+	// maxListTimeout, with each list that takes too long: a store that lost the call
+	// never answers, while one that is slow needs more time.
+	minListTimeout = 750 * time.Millisecond
+	maxListTimeout = 3 * time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = time.Second
@@ -109,6 +112,7 @@
 	reconnectedAt time.Time
 	revision      Revision
 	backoff       time.Duration
+	listTimeout   time.Duration
 }
 
 // Current reports whether the collection was read and the last call to the store
@@ -185,13 +189,20 @@
 }
 
 func (f *Follower[T]) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	f.listTimeout = max(f.listTimeout, minListTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.listTimeout)
 	defer cancel()
 	f.mu.Lock()
 	// A call to Relist from here on requests another list.
 	f.relist = false
 	f.mu.Unlock()
 	err := f.read(ctx)
+	switch {
+	case err == nil:
+		f.listTimeout = minListTimeout
+	case ctx.Err() == context.DeadlineExceeded:
+		f.listTimeout = min(2*f.listTimeout, maxListTimeout)
+	}
 	if err != nil {
 		f.mu.Lock()
 		f.relist = true
--- a/internal/leverfeed/follower_test.go
+++ b/internal/leverfeed/follower_test.go
@@ -244,3 +244,55 @@
 		})
 	}
 }
+
+// silentSource does not answer lists until a time, and lists that were sent before it
+// are lost. After that a list takes delay.
+type silentSource struct {
+	source
+	until time.Time
+	delay time.Duration
+}
+
+func (s *silentSource) List(ctx context.Context) (leverfeed.Batch[int], error) {
+	if time.Now().Before(s.until) {
+		<-ctx.Done()
+		return leverfeed.Batch[int]{}, ctx.Err()
+	}
+	select {
+	case <-time.After(s.delay):
+		return s.source.List(ctx)
+	case <-ctx.Done():
+		return leverfeed.Batch[int]{}, ctx.Err()
+	}
+}
+
+// TestListAfterSilence starts while the store is silent. A call that is lost must not
+// delay the first list for long after the store answers again, and a slow store must
+// get the time it needs.
+func TestListAfterSilence(t *testing.T) {
+	cases := map[string]struct {
+		silent, delay, within time.Duration
+	}{
+		"silent for a moment": {100 * time.Millisecond, 0, 1100 * time.Millisecond},
+		"slow":                {0, 2 * time.Second, 8 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &silentSource{until: time.Now().Add(c.silent), delay: c.delay}
+				s.set("a", 1)
+				f := &leverfeed.Follower[int]{Name: "c", Source: s, Timer: &levertimer.Service{}, Pause: time.Second, Apply: func(map[string]int, leverfeed.Revision) {}}
+				ctx, cancel := context.WithCancel(t.Context())
+				began := time.Now()
+				go f.Run(ctx)
+				for !f.Current() && time.Since(began) < time.Minute {
+					time.Sleep(10 * time.Millisecond)
+				}
+				is.True(time.Since(began) <= c.within)
+				cancel()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
