internal/leverrelay: at the first start of a fleet entries are written at once

Change: a list that has been read counts also if it is empty, and seeds are asked again until it has VMs.

--- a/internal/levernode/life.go
+++ b/internal/levernode/life.go
@@ -58,7 +58,7 @@
 // entry.
 func (n *Node) awaitOwnEntry(ctx context.Context) bool {
 	until := n.timer.Now().Add(listWait)
-	for n.members.Len() == 0 && n.timer.Now().Before(until) && n.timer.Sleep(ctx, listPollInterval) {
+	for !n.mirror.VMsKnown() && n.timer.Now().Before(until) && n.timer.Sleep(ctx, listPollInterval) {
 	}
 	return slices.Contains(n.members.List(), n.opts.Self)
 }
--- a/internal/leverrelay/start.go
+++ b/internal/leverrelay/start.go
@@ -40,7 +40,7 @@
 	}
 }
 
-// ask reports whether the seed has answered.
+// ask reports whether the seed has answered with VMs.
 func (l *learner) ask(ctx context.Context) bool {
 	call, err := l.relay.Peers.Call(ctx, l.seed, leverpeer.KindFollow, &FollowRequest{OnlyVMs: true})
 	if err != nil {
@@ -58,7 +58,9 @@
 		return false
 	}
 	l.relay.Mirror.Merge(u)
-	return true
+	// At the first start of a fleet the list is empty until VMs have written their
+	// entries.
+	return l.relay.Members.Len() > 0
 }
 
 // serveVMs sends the list of VMs as soon as it is known.
@@ -76,6 +78,13 @@
 	}
 }
 
+// VMsKnown reports whether the list of VMs has been read, even if it is empty.
+func (m *Mirror) VMsKnown() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.vms.revision > 0
+}
+
 // VMs returns an update that holds the VMs only, or nil if they are not known, and
 // a channel that is closed at the next change.
 func (m *Mirror) VMs() (*Update, <-chan struct{}) {
