--- a/internal/levertest/processor.go
+++ b/internal/levertest/processor.go
@@ -3,20 +3,24 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // Processors simulates the processor time that hosts take to write to their
-// connections: a host writes to one connection at a time. Its fields must be set
-// before the first use. It is safe for concurrent use.
+// connections: a host writes to one connection at a time. The zero value takes no
+// time. It is safe for concurrent use.
 type Processors struct {
-	// WriteTime is how long one write takes.
-	WriteTime time.Duration
+	// writeTime is a time.Duration.
+	writeTime atomic.Int64
 
 	mu    sync.Mutex
 	hosts map[string]chan struct{}
 }
 
+// SetWriteTime sets how long one write takes.
+func (p *Processors) SetWriteTime(d time.Duration) { p.writeTime.Store(int64(d)) }
+
 // Conn returns a connection of a host whose writes take processor time.
 func (p *Processors) Conn(host string, c net.Conn) net.Conn {
 	p.mu.Lock()
@@ -38,10 +42,10 @@
 	busy chan struct{}
 }
 
-// Write takes the host's processor for WriteTime and writes.
+// Write takes the host's processor for the write time and writes.
 func (c *processedConn) Write(b []byte) (int, error) {
 	c.busy <- struct{}{}
-	time.Sleep(c.processors.WriteTime)
+	time.Sleep(time.Duration(c.processors.writeTime.Load()))
 	<-c.busy
 	return c.Conn.Write(b)
 }
