review: case 3, a request that crashes leaves is not stopped in time

Cause: a machine tells the others of a content only when two leaves have reset it on that machine. An unsafe request gets one attempt a send, so each machine crashes a leaf before one of them suspects the content.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 
 var cases = map[string]checkFunc{
 	"refused": runRefused,
+	"poison":  runPoison,
 	"drain":   runDrain,
 }
 
