review: case 3, a removed leaf stays in use while the watching machine's link flaps

Cause: the machine that watches the store for all keeps removed entries for 2.2 s after each reconnection, drops them only when a watch returns, and is followed by the others until its next loss of the store is noticed.

The cases about the crashing request and the rolling restart are now 4 and 5.

--- a/review/3/run.sh
+++ b/review/4/run.sh
@@ -4,7 +4,7 @@
 set -u
 cd "$(dirname "$0")/../.."
 [ -x target/arbutuslever ] && [ -x target/review-standin ] || { echo "not built"; exit 2; }
-timeout -k 5 115 target/review-standin poison review/3
+timeout -k 5 115 target/review-standin poison review/4
 rc=$?
 [ $rc -le 2 ] || rc=2
 exit $rc
