cmd/leversoak: callers keep their connections until the VM closes them; planned work alone

The soak's callers used net/http's client, which leaves a connection that the VM announces to close, and never kept one open for seconds without a request. Stops were therefore met by callers that had already moved on.

--- a/cmd/leversoak/fault.go
+++ b/cmd/leversoak/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"syscall"
@@ -85,6 +86,9 @@
 	"settings":          func(s *soak, f fault) { s.rewriteSettings(s.vm(f)) },
 }
 
+// plannedKinds are the kinds that are planned work, sorted.
+var plannedKinds = []string{"config", "config-storm", "hangup-series", "terminate", "terminate-roll", "upstream-drains"}
+
 func upstreamFault(faults standin.Faults) func(s *soak, f fault) {
 	return func(s *soak, f fault) {
 		u := s.upstream(f)
@@ -107,11 +111,10 @@
 // generateFaults returns the random faults of a seed, ordered by time. Faults
 // may overlap, and several may occur in quick succession.
 func generateFaults(seed uint64, o *options) []fault {
-	var kinds []string
-	for k := range injectors {
-		kinds = append(kinds, k)
+	kinds := plannedKinds
+	if !o.Planned {
+		kinds = slices.Sorted(maps.Keys(injectors))
 	}
-	slices.Sort(kinds)
 	rng := rand.New(rand.NewPCG(seed, seed))
 	var out []fault
 	for at := time.Second; at < o.Duration; at += time.Duration(rng.ExpFloat64() * float64(meanFaultInterval)) {
@@ -143,7 +146,7 @@
 
 func (s *soak) terminate(f fault) {
 	if !s.vm(f).restart(syscall.SIGTERM, f.duration/4) && !s.isPaused(s.vm(f)) && !s.options.RulesOnly {
-		s.violationf("vm%d did not exit within the grace period of %d s", s.vm(f).n, graceS)
+		s.violationf("vm%d did not exit within the grace period of %d s", s.vm(f).n, s.options.GraceS)
 	}
 }
 
--- a/cmd/leversoak/main.go
+++ b/cmd/leversoak/main.go
@@ -20,7 +20,9 @@
 	Seeds     int           `long:"seeds" description:"number of consecutive seeds to run" default:"1"`
 	VMs       int           `long:"vms" description:"number of VMs" default:"5"`
 	Shards    int           `long:"shards" description:"number of shards" default:"6"`
-	Callers   int           `long:"callers" description:"number of callers per VM" default:"2"`
+	Callers   int           `long:"callers" description:"number of callers per VM" default:"4"`
+	GraceS    int           `long:"grace" description:"grace period of a process that is terminated, in seconds" default:"3"`
+	Planned   bool          `long:"planned" description:"inject planned work only: stops, reloads, configurations and drains"`
 	Duration  time.Duration `long:"length" description:"time during which faults are injected" default:"12s"`
 	Faults    string        `long:"faults" description:"numbers of the seed's faults to inject, like 0,3; all if empty"`
 	RulesOnly bool          `long:"rules-only" description:"check only answers, runs and budgets, not times"`
--- a/cmd/leversoak/soak.go
+++ b/cmd/leversoak/soak.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -23,11 +24,8 @@
 	observeTime  = 2 * time.Second
 	// minServed is the minimum fraction of requests that must be served during
 	// observeTime.
-	minServed = 0.99
-	// requestInterval is the pause between an answer and the next request of a
-	// caller.
-	requestInterval = 25 * time.Millisecond
-	requestTimeout  = time.Second
+	minServed      = 0.99
+	requestTimeout = time.Second
 )
 
 // soak is the state of one run of a seed.
@@ -137,7 +135,7 @@
 		}
 	}
 	for n := range s.options.VMs {
-		v := &vm{n: n, program: s.options.Program, dir: dir, ports: ports, logf: s.logf}
+		v := &vm{n: n, program: s.options.Program, dir: dir, ports: ports, graceS: s.options.GraceS, logf: s.logf}
 		if v.store, err = newProxy("127.0.0.1:0"); err != nil {
 			return err
 		}
@@ -169,8 +167,9 @@
 func (s *soak) runFaults(faults []fault) {
 	var callers, running sync.WaitGroup
 	for _, v := range s.vms {
-		for range s.options.Callers {
-			c := &caller{soak: s, vm: v, client: &http.Client{Transport: &http.Transport{}}}
+		for i := range s.options.Callers {
+			c := &caller{soak: s, vm: v, number: i, rng: rand.New(rand.NewPCG(s.seed, uint64(v.n*s.options.Callers+i)))}
+			c.connection.Address = v.address(0)
 			callers.Add(1)
 			go c.run(&callers)
 		}
@@ -204,29 +203,6 @@
 	injectors[r.fault.kind](r.soak, r.fault)
 }
 
-// caller sends requests of all kinds to one VM on a persistent connection, also
-// while the VM stops.
-type caller struct {
-	soak   *soak
-	vm     *vm
-	client *http.Client
-}
-
-func (c *caller) run(wg *sync.WaitGroup) {
-	defer wg.Done()
-	kinds := []struct{ method, path string }{
-		{http.MethodGet, standin.PathAll}, {http.MethodGet, standin.PathOne}, {http.MethodPost, standin.PathPost},
-	}
-	for i := 0; !c.soak.stopping.Load(); i++ {
-		k := kinds[i%len(kinds)]
-		id := fmt.Sprintf("s%d-%06d", c.soak.seed, c.soak.nextID.Add(1))
-		a := standin.SendRequest(c.client, k.method, "http://"+c.vm.address(0), id, k.path+id, requestTimeout)
-		a.MayBeLate = c.soak.options.RulesOnly || c.vm.pausedSince(a.Sent)
-		c.soak.sim.Checker.Record(a)
-		time.Sleep(requestInterval)
-	}
-}
-
 // verify collects the violated rules and checks that each VM is ready and has
 // the last configuration in force.
 func (s *soak) verify() {
--- a/cmd/leversoak/vm.go
+++ b/cmd/leversoak/vm.go
@@ -14,12 +14,8 @@
 	"arbutuslever.dev/lever/platform/standin"
 )
 
-const (
-	// graceS is the grace period of a terminating process, in seconds.
-	graceS = 3
-	// readyTimeout is how long the processes may take to become ready.
-	readyTimeout = 6 * time.Second
-)
+// readyTimeout is how long the processes may take to become ready.
+const readyTimeout = 6 * time.Second
 
 // vm is one simulated VM: a process of the program and the proxy through which
 // it reaches the store.
@@ -28,8 +24,10 @@
 	program string
 	dir     string
 	ports   [3]int
-	store   *proxy
-	logf    func(format string, args ...any)
+	// graceS is the grace period of a terminating process, in seconds.
+	graceS int
+	store  *proxy
+	logf   func(format string, args ...any)
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -56,7 +54,7 @@
 		Name: fmt.Sprintf("vm%d", v.n), IP: v.ip(), Zone: fmt.Sprintf("z%d", v.n%2),
 		Front: v.address(0), Ready: v.address(1), Control: v.address(2),
 		Seeds: []string{fmt.Sprintf("127.0.1.1:%d", v.ports[2]), fmt.Sprintf("127.0.1.2:%d", v.ports[2])},
-		Store: v.store.address(), RetrySlack: retrySlack, GraceS: graceS,
+		Store: v.store.address(), RetrySlack: retrySlack, GraceS: v.graceS,
 		CPUShare: 0.4, MemoryMB: 284, DrainMS: 3000, ConfigApplyMS: 3000, WritesPerS: 400, ReadsPerS: 2000,
 	}
 	return s.Write(v.settingsPath())
@@ -123,7 +121,7 @@
 	inTime := true
 	select {
 	case <-exited:
-	case <-time.After(graceS*time.Second + time.Second):
+	case <-time.After(time.Duration(v.graceS)*time.Second + time.Second):
 		inTime = false
 		v.signal(syscall.SIGCONT)
 		v.signal(syscall.SIGKILL)
