internal/leverlog: a line after Close no longer ends the process

Seen: at the end of a planned stop the process of `arbutuslever entry` ended with status 2 (panic: send on closed channel in Sink.Write); a handler that logged then would have ended it the same way.

Cause: Close closed the queue while goroutines that outlive the stop, such as the writer of the VM's entry, still log. Close also waited without limit for a reader that doesn't read, so the process outlived its grace.

Change: Close signals the end on a channel of its own and never closes the queue; it waits for the writer for at most 200 ms.

TestLineAfterCloseEndedTheProcess panicked before, and TestBlockedReaderHeldTheEnd ended in synctest's deadlock. TestSinkNeverBlocks has the same checks as before, in virtual time, so that the new limit can't end it early.

--- a/internal/leverlog/log_test.go
+++ b/internal/leverlog/log_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"arbutuslever.dev/lever/internal/leverlog"
 
@@ -39,15 +41,47 @@
 // TestSinkNeverBlocks checks that a Sink drops and counts lines while its queue
 // is full, so that a blocked reader of the log can't stall the process.
 func TestSinkNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := &blockedWriter{release: make(chan struct{})}
+		s := leverlog.NewSink(w)
+		for range 10000 {
+			_, err := s.Write([]byte("line\n"))
+			is.NoErr(err)
+		}
+		is.True(s.Dropped() > 0)
+		close(w.release)
+		s.Close()
+		is.True(w.n < 10000)
+	})
+}
+
+// TestLineAfterCloseEndedTheProcess logs from a goroutine that outlives Close.
+func TestLineAfterCloseEndedTheProcess(t *testing.T) {
 	is := is.New(t)
-	w := &blockedWriter{release: make(chan struct{})}
-	s := leverlog.NewSink(w)
+	var b bytes.Buffer
+	s := leverlog.NewSink(&b)
+	_, err := s.Write([]byte("line\n"))
+	is.NoErr(err)
+	s.Close()
+	is.Equal(b.String(), "line\n")
 	for range 10000 {
-		_, err := s.Write([]byte("line\n"))
+		_, err := s.Write([]byte("late\n"))
 		is.NoErr(err)
 	}
-	is.True(s.Dropped() > 0)
-	close(w.release)
-	s.Close()
-	is.True(w.n < 10000)
+}
+
+// TestBlockedReaderHeldTheEnd closes a Sink whose reader never reads.
+func TestBlockedReaderHeldTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := &blockedWriter{release: make(chan struct{})}
+		s := leverlog.NewSink(w)
+		_, err := s.Write([]byte("line\n"))
+		is.NoErr(err)
+		began := time.Now()
+		s.Close()
+		is.True(time.Since(began) < time.Second)
+		close(w.release)
+	})
 }
--- a/internal/leverlog/sink.go
+++ b/internal/leverlog/sink.go
@@ -16,6 +16,9 @@
 	// 100 KB per second.
 	messageRate  = 50
 	messageBurst = 200
+	// flushTimeout bounds how long Close waits for a slow writer, because a
+	// process that stops has to end within its grace period.
+	flushTimeout = 200 * time.Millisecond
 )
 
 // Sink is a writer that passes lines to a slow writer in the background. Lines
@@ -23,18 +26,20 @@
 type Sink struct {
 	w       io.Writer
 	lines   chan []byte
+	closing chan struct{}
 	done    chan struct{}
 	dropped atomic.Int64
 }
 
 // NewSink returns a Sink that writes to w until Close is called.
 func NewSink(w io.Writer) *Sink {
-	s := &Sink{w: w, lines: make(chan []byte, queueSize), done: make(chan struct{})}
+	s := &Sink{w: w, lines: make(chan []byte, queueSize), closing: make(chan struct{}), done: make(chan struct{})}
 	go s.run()
 	return s
 }
 
-// Write queues one line. It never blocks and never fails.
+// Write queues one line. It never blocks and never fails. Lines that arrive
+// after Close may be lost.
 func (s *Sink) Write(b []byte) (int, error) {
 	line := append([]byte(nil), b...)
 	select {
@@ -48,17 +53,26 @@
 // Dropped returns the number of lines dropped so far.
 func (s *Sink) Dropped() int64 { return s.dropped.Load() }
 
-// Close writes the queued lines and stops the Sink. Write must not be called
-// afterwards.
+// Close writes the queued lines and stops the Sink. It gives up when the writer
+// takes longer than flushTimeout. Close must be called at most once.
 func (s *Sink) Close() {
-	close(s.lines)
-	<-s.done
+	close(s.closing)
+	t := time.NewTimer(flushTimeout)
+	defer t.Stop()
+	select {
+	case <-s.done:
+	case <-t.C:
+	}
 }
 
 func (s *Sink) run() {
 	defer close(s.done)
 	reported := int64(0)
-	for line := range s.lines {
+	for {
+		line := s.next()
+		if line == nil {
+			return
+		}
 		// A failure to write the log can't be logged.
 		_, _ = s.w.Write(line)
 		if n := s.dropped.Load(); n != reported {
@@ -68,6 +82,22 @@
 	}
 }
 
+// next waits for a line. It returns nil if the Sink is closed and no line is
+// queued.
+func (s *Sink) next() []byte {
+	select {
+	case line := <-s.lines:
+		return line
+	case <-s.closing:
+	}
+	select {
+	case line := <-s.lines:
+		return line
+	default:
+		return nil
+	}
+}
+
 // limiter limits the rate of lines with the same message. It is safe for
 // concurrent use.
 type limiter struct {
