cmd/arbutuslever: a stop signal has a channel of its own

Cause: SIGTERM, SIGINT and SIGHUP shared one channel of size 1, which drops a SIGTERM behind a pending SIGHUP. A slow reload also delayed the stop, because both ran in one goroutine.

Change: type signals holds one channel for stops and one for reloads; the reloads run in a goroutine of their own (reloader). The entry's settings are an atomic pointer, because a stop may now overlap a reload. The signals are registered in the first statement of main.

TestSlowReloadDelayedTheStop checks the type in virtual time.

--- a/cmd/arbutuslever/daemon.go
+++ b/cmd/arbutuslever/daemon.go
@@ -6,8 +6,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverentry"
@@ -116,18 +114,11 @@
 
 // serve runs until SIGTERM or SIGINT, then performs a planned stop. SIGHUP
 // reloads the keys.
-func (d *daemon) serve() error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+func (d *daemon) serve(sig *signals) error {
 	d.node.Start(d.peerListener)
 	go d.runServer()
 	d.log.For("daemon").Info("process started", "callers", d.settings.CallerListen, "peers", d.settings.PeerListen)
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
-		}
-		d.reloadKeys()
-	}
+	sig.await(&reloader{Signalled: d.reloadKeys})
 	return d.stop()
 }
 
--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -4,10 +4,9 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"reflect"
 	"runtime/debug"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverbudget"
@@ -57,13 +56,13 @@
 func init() { commands.Register("entry", runEntry) }
 
 // runEntry serves the protocols of package platform until a signal ends it.
-func runEntry([]string) error {
+func runEntry(_ []string, sig *signals) error {
 	path := os.Getenv(platform.SettingsVariable)
 	s, err := awaitSettings(path, time.Now().Add(settingsWait))
 	if err != nil {
 		return err
 	}
-	return newEntry(path, s).serve()
+	return newEntry(path, s).serve(sig)
 }
 
 // awaitSettings reads the settings file again until it is valid or the time until
@@ -80,8 +79,9 @@
 
 // entry serves the protocols of package platform (levernode).
 type entry struct {
-	path     string
-	settings *platform.Settings
+	path string
+	// settings are the settings in force, which a reload replaces.
+	settings atomic.Pointer[platform.Settings]
 	sink     *leverlog.Sink
 	log      leverlog.Logger
 	metrics  *levermetric.Set
@@ -95,7 +95,8 @@
 	}
 	sink := leverlog.NewSink(os.Stdout)
 	log := leverlog.New(sink, "info", s.Node)
-	e := &entry{path: path, settings: s, sink: sink, log: log.For("entry"), metrics: &levermetric.Set{}}
+	e := &entry{path: path, sink: sink, log: log.For("entry"), metrics: &levermetric.Set{}}
+	e.settings.Store(s)
 	e.metrics.Gauge("log-lines-dropped", func() float64 { return float64(sink.Dropped()) })
 	// The settings hold no secret. The store's address as the peers' shared key
 	// only keeps VMs of different platforms apart.
@@ -148,11 +149,10 @@
 
 // serve runs until SIGTERM or SIGINT, then stops the process. It reloads the
 // settings on SIGHUP and periodically.
-func (e *entry) serve() error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+func (e *entry) serve(sig *signals) error {
+	settings := e.settings.Load()
 	var listeners [3]net.Listener
-	for i, address := range []string{e.settings.Listen.Front, e.settings.Listen.Ready, e.settings.Listen.Control} {
+	for i, address := range []string{settings.Listen.Front, settings.Listen.Ready, settings.Listen.Control} {
 		var err error
 		if listeners[i], err = net.Listen("tcp4", address); err != nil {
 			return errors.Annotatef(err, "listen on %s", address)
@@ -161,32 +161,22 @@
 	e.serveMetrics()
 	e.gate.Serve(listeners[0], listeners[1])
 	e.node.Start(listeners[2])
-	e.log.Info("process started", "callers", e.settings.Listen.Front, "peers", e.settings.Listen.Control,
-		"domain", e.settings.Zone, "power", e.settings.Power())
+	e.log.Info("process started", "callers", settings.Listen.Front, "peers", settings.Listen.Control,
+		"domain", settings.Zone, "power", settings.Power())
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
-	for {
-		select {
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				e.stop()
-				return nil
-			}
-			e.log.Info("SIGHUP received; reloading the settings")
-			e.reload()
-		case <-ticker.C:
-			e.reload()
-		}
-	}
+	sig.await(&reloader{Signalled: e.reloadSignalled, Ticked: e.reload, Ticks: ticker.C})
+	e.stop()
+	return nil
 }
 
 func (e *entry) stop() {
-	e.gate.Stop(time.Duration(e.settings.Bounds.GraceS * float64(time.Second)))
+	e.gate.Stop(time.Duration(e.settings.Load().Bounds.GraceS * float64(time.Second)))
 	e.sink.Close()
 }
 
 func (e *entry) serveMetrics() {
-	ln, err := net.Listen("tcp4", net.JoinHostPort(e.settings.IP, metricsPort))
+	ln, err := net.Listen("tcp4", net.JoinHostPort(e.settings.Load().IP, metricsPort))
 	if err != nil {
 		e.log.Warn("could not listen for metrics requests; metrics are not served", "err", err)
 		return
@@ -207,6 +197,11 @@
 	m.log.Error("metrics server failed", "err", m.server.Serve(ln))
 }
 
+func (e *entry) reloadSignalled() {
+	e.log.Info("SIGHUP received; reloading the settings")
+	e.reload()
+}
+
 // reload applies a changed settings file. Only the retry bounds and the grace
 // period take effect at once, all other changes at the next start. An invalid
 // file changes nothing.
@@ -216,13 +211,14 @@
 		e.log.Error("settings are invalid; keeping the current settings", "err", err)
 		return
 	}
-	if reflect.DeepEqual(s, e.settings) {
+	old := e.settings.Load()
+	if reflect.DeepEqual(s, old) {
 		return
 	}
 	e.log.Info("settings changed", "retry-ratio", s.Bounds.RetryRatio, "retry-slack", s.Bounds.RetrySlack, "grace-s", s.Bounds.GraceS)
-	if s.Listen != e.settings.Listen || s.Platform.Address != e.settings.Platform.Address {
+	if s.Listen != old.Listen || s.Platform.Address != old.Platform.Address {
 		e.log.Warn("changed addresses take effect at the next start", "callers", s.Listen.Front, "store", s.Platform.Address)
 	}
-	e.settings = s
+	e.settings.Store(s)
 	e.node.SetTerms(budgetTerms(s))
 }
--- a/cmd/arbutuslever/main.go
+++ b/cmd/arbutuslever/main.go
@@ -26,7 +26,7 @@
 
 // command runs the daemon with the protocols of one kind of caller, store and
 // upstream. args are the command-line arguments after the command's name.
-type command func(args []string) error
+type command func(args []string, sig *signals) error
 
 // commands are the commands that the first command-line argument selects by
 // name. Each command registers itself.
@@ -38,13 +38,14 @@
 func init() { commands.Register(defaultCommand, runDefault) }
 
 func main() {
+	sig := notifySignals()
 	name, args := defaultCommand, os.Args[1:]
 	if len(args) > 0 && !strings.HasPrefix(args[0], "-") {
 		name, args = args[0], args[1:]
 	}
 	run, err := commands.Lookup(name)
 	if err == nil {
-		err = run(args)
+		err = run(args, sig)
 	}
 	if err != nil {
 		os.Stderr.WriteString("arbutuslever: " + err.Error() + "\n")
@@ -53,7 +54,7 @@
 }
 
 // runDefault runs the daemon with the protocols of this project.
-func runDefault(args []string) error {
+func runDefault(args []string, sig *signals) error {
 	var o options
 	if _, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args); err != nil {
 		if e, ok := err.(*flags.Error); ok && e.Type == flags.ErrHelp {
@@ -74,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	return d.serve()
+	return d.serve(sig)
 }
 
 // load reads the settings file, applies the flags to it and validates the
--- /dev/null
+++ b/cmd/arbutuslever/signals.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// signals holds the signals that the process receives. Those that stop it have a
+// channel of their own, so that no reload can displace or delay them. A signal
+// that arrives while one of its kind is pending counts as the same.
+type signals struct {
+	stops, reloads chan os.Signal
+}
+
+// notifySignals makes the process receive its signals.
+func notifySignals() *signals {
+	s := &signals{stops: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1)}
+	signal.Notify(s.stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reloads, syscall.SIGHUP)
+	return s
+}
+
+// await reloads the settings until a stop signal arrives. It doesn't wait for a
+// reload in progress.
+func (s *signals) await(r *reloader) {
+	r.signals, r.done = s.reloads, make(chan struct{})
+	go r.run()
+	<-s.stops
+	close(r.done)
+}
+
+// reloader reloads the settings, one reload at a time. Its exported fields must
+// be set before use.
+type reloader struct {
+	// Signalled is called after SIGHUP.
+	Signalled func()
+	// Ticked is called at each tick of Ticks, which may be nil.
+	Ticked func()
+	Ticks  <-chan time.Time
+
+	signals chan os.Signal
+	done    chan struct{}
+}
+
+func (r *reloader) run() {
+	for {
+		select {
+		case <-r.signals:
+			r.Signalled()
+		case <-r.Ticks:
+			r.Ticked()
+		case <-r.done:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/cmd/arbutuslever/signals_test.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+)
+
+// send delivers a signal as package signal does, which never blocks.
+func send(c chan os.Signal, s os.Signal) {
+	select {
+	case c <- s:
+	default:
+	}
+}
+
+// TestSlowReloadDelayedTheStop checks that signals during a reload cause one
+// more, and that a stop doesn't wait for it.
+func TestSlowReloadDelayedTheStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &signals{stops: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1)}
+		began, release, stopped := 0, make(chan struct{}), make(chan struct{})
+		go func() {
+			s.await(&reloader{Signalled: func() { began++; <-release }})
+			close(stopped)
+		}()
+		for range 5 {
+			send(s.reloads, syscall.SIGHUP)
+			synctest.Wait()
+		}
+		is.Equal(began, 1)
+		release <- struct{}{}
+		synctest.Wait()
+		is.Equal(began, 2)
+		send(s.reloads, syscall.SIGHUP)
+		send(s.stops, syscall.SIGTERM)
+		synctest.Wait()
+		<-stopped // while the second reload is in progress
+		send(s.stops, syscall.SIGTERM)
+		for range 5 {
+			send(s.reloads, syscall.SIGHUP)
+		}
+		close(release)
+		synctest.Wait()
+	})
+}
