cmd/arbutuslever: a signal during the start ends it cleanly

Seen: SIGHUP while the settings were being read (awaitSettings waits up to 3 s for them) ended the process by the signal's default action, SIGTERM ended it with a signal instead of status 0.

Cause: the signals were registered only once the process served.

Change: signals.start runs the preparation in the background and returns errStopped when a stop signal arrives; main then exits with status 0.

TestSignalsBeforeTheStart runs both commands with a FIFO as settings file and signals them while they read it. TestStopDuringStart checks the type in virtual time. Not covered: the time before main runs.

--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -58,8 +58,11 @@
 // runEntry serves the protocols of package platform until a signal ends it.
 func runEntry(_ []string, sig *signals) error {
 	path := os.Getenv(platform.SettingsVariable)
-	s, err := awaitSettings(path, time.Now().Add(settingsWait))
-	if err != nil {
+	var s *platform.Settings
+	if err := sig.start(func() (err error) {
+		s, err = awaitSettings(path, time.Now().Add(settingsWait))
+		return err
+	}); err != nil {
 		return err
 	}
 	return newEntry(path, s).serve(sig)
--- a/cmd/arbutuslever/main.go
+++ b/cmd/arbutuslever/main.go
@@ -9,6 +9,7 @@
 	"arbutuslever.dev/lever/internal/leversettings"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
 )
 
 // options are the command-line flags of the default command. A flag for a
@@ -47,6 +48,10 @@
 	if err == nil {
 		err = run(args, sig)
 	}
+	if errors.Is(err, errStopped) {
+		os.Stderr.WriteString("arbutuslever: " + err.Error() + "\n")
+		return
+	}
 	if err != nil {
 		os.Stderr.WriteString("arbutuslever: " + err.Error() + "\n")
 		os.Exit(1)
@@ -63,8 +68,11 @@
 		}
 		return err
 	}
-	s, err := o.load()
-	if err != nil {
+	var s *leversettings.VM
+	if err := sig.start(func() (err error) {
+		s, err = o.load()
+		return err
+	}); err != nil {
 		return err
 	}
 	if o.Check {
--- a/cmd/arbutuslever/program_test.go
+++ b/cmd/arbutuslever/program_test.go
@@ -160,3 +160,35 @@
 		})
 	}
 }
+
+// TestSignalsBeforeTheStart sends signals while the settings are being read.
+func TestSignalsBeforeTheStart(t *testing.T) {
+	for command, text := range faces {
+		t.Run(command+" SIGHUP", func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			path := filepath.Join(t.TempDir(), "settings.json")
+			open := fifo(t, path)
+			p := startProgram(t, command, path)
+			f := open()
+			p.signal(syscall.SIGHUP)
+			_, err := f.WriteString(text)
+			is.NoErr(err)
+			is.NoErr(f.Close())
+			p.await("process started")
+			p.signal(syscall.SIGTERM)
+			p.await("process stopped")
+			p.wait()
+		})
+		t.Run(command+" SIGTERM", func(t *testing.T) {
+			t.Parallel()
+			path := filepath.Join(t.TempDir(), "settings.json")
+			open := fifo(t, path)
+			p := startProgram(t, command, path)
+			f := open()
+			defer func() { _ = f.Close() }()
+			p.signal(syscall.SIGTERM)
+			p.wait()
+		})
+	}
+}
--- a/cmd/arbutuslever/signals.go
+++ b/cmd/arbutuslever/signals.go
@@ -5,8 +5,13 @@
 	"os/signal"
 	"syscall"
 	"time"
+
+	"github.com/juju/errors"
 )
 
+// errStopped means that a stop signal arrived before the process served.
+const errStopped = errors.ConstError("a signal stopped the process before it served")
+
 // signals holds the signals that the process receives. Those that stop it have a
 // channel of their own, so that no reload can displace or delay them. A signal
 // that arrives while one of its kind is pending counts as the same.
@@ -22,6 +27,28 @@
 	return s
 }
 
+// start runs f, which prepares the process for serving, and returns its error.
+// If a stop signal arrives meanwhile, start returns errStopped without waiting
+// for f.
+func (s *signals) start(f func() error) error {
+	p := &preparation{f: f, done: make(chan error, 1)}
+	go p.run()
+	select {
+	case err := <-p.done:
+		return err
+	case <-s.stops:
+		return errStopped
+	}
+}
+
+// preparation runs one function in the background.
+type preparation struct {
+	f    func() error
+	done chan error
+}
+
+func (p *preparation) run() { p.done <- p.f() }
+
 // await reloads the settings until a stop signal arrives. It doesn't wait for a
 // reload in progress.
 func (s *signals) await(r *reloader) {
--- a/cmd/arbutuslever/signals_test.go
+++ b/cmd/arbutuslever/signals_test.go
@@ -5,7 +5,9 @@
 	"syscall"
 	"testing"
 	"testing/synctest"
+	"time"
 
+	"github.com/juju/errors"
 	"github.com/matryer/is"
 )
 
@@ -48,3 +50,18 @@
 		synctest.Wait()
 	})
 }
+
+// TestStopDuringStart checks that a stop signal ends a start that doesn't end by
+// itself.
+func TestStopDuringStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &signals{stops: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1)}
+		is.NoErr(s.start(func() error { time.Sleep(time.Second); return nil }))
+		send(s.stops, syscall.SIGTERM)
+		began := time.Now()
+		is.True(errors.Is(s.start(func() error { time.Sleep(time.Hour); return nil }), errStopped))
+		is.Equal(time.Since(began), time.Duration(0))
+		time.Sleep(time.Hour)
+	})
+}
