cmd/arbutuslever: a broken standard output no longer ends the process

Seen: once the reader of the logs is gone, the next log line ended the process in the middle of serving ("signal: broken pipe"), and the requests in flight got no answer.

Cause: Go raises SIGPIPE again for a failed write to file descriptor 1 or 2, unless the program ignores or receives that signal. leverlog's Sink ignores the error of the write, but never saw it.

Change: notifySignals ignores SIGPIPE. Writes to a broken pipe return EPIPE.

TestBrokenOutputEndedTheProcess closes the read end of the child's standard output and error, makes it log, and sends SIGTERM. Before: "signal: broken pipe" for both commands; after: status 0.

--- a/cmd/arbutuslever/program_test.go
+++ b/cmd/arbutuslever/program_test.go
@@ -161,6 +161,24 @@
 	}
 }
 
+// TestBrokenOutputEndedTheProcess closes the reader of the logs, after which
+// each line is a write to a broken pipe.
+func TestBrokenOutputEndedTheProcess(t *testing.T) {
+	for command, text := range faces {
+		t.Run(command, func(t *testing.T) {
+			t.Parallel()
+			p := startProgram(t, command, settingsFile(t, text))
+			p.await("process started")
+			is.New(t).NoErr(p.pipe.Close())
+			open := fifo(t, p.settings)
+			p.signal(syscall.SIGHUP)
+			is.New(t).NoErr(open().Close()) // invalid settings, which are logged
+			p.signal(syscall.SIGTERM)
+			p.wait()
+		})
+	}
+}
+
 // TestSignalsBeforeTheStart sends signals while the settings are being read.
 func TestSignalsBeforeTheStart(t *testing.T) {
 	for command, text := range faces {
--- a/cmd/arbutuslever/signals.go
+++ b/cmd/arbutuslever/signals.go
@@ -19,11 +19,13 @@
 	stops, reloads chan os.Signal
 }
 
-// notifySignals makes the process receive its signals.
+// notifySignals makes the process receive its signals. A write to a broken
+// standard output or error then returns an error instead of ending the process.
 func notifySignals() *signals {
 	s := &signals{stops: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1)}
 	signal.Notify(s.stops, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reloads, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	return s
 }
 
