internal/leverdrain: tracks a server's connections; the log of a stop names their states

What callers saw: requests cut at SIGTERM. The log of a stop gave the number of requests in flight only, which can't tell a request that is being read or answered from an idle connection, nor a new one from a kept one.

leverdrain tracks the connections of an http.Server: new, idle or busy. The gate logs these counts when the listener closes and when the grace period ends with open connections. The package can also close connections without aborting a request that has been read; the gate does not use this yet.

--- /dev/null
+++ b/internal/leverdrain/conn.go
@@ -0,0 +1,134 @@
+package leverdrain
+
+import (
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// conn is a connection of a Tracker.
+type conn struct {
+	net.Conn
+	tracker *Tracker
+
+	mu sync.Mutex
+	// carried is set once the connection has carried a request, busy while it
+	// carries one.
+	carried, busy bool
+	// expired is set while closeIfIdle has replaced the read deadline.
+	expired      bool
+	readDeadline time.Time
+	closeOnce    sync.Once
+	closeErr     error
+}
+
+// Read marks the connection as busy if it returns data.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.carried, c.busy = true, true
+	if c.expired {
+		c.expired = false
+		if restoreErr := c.Conn.SetReadDeadline(c.readDeadline); err == nil {
+			err = restoreErr
+		}
+	}
+	return n, err
+}
+
+// SetReadDeadline sets the deadline of reads unless closeIfIdle has ended them.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	if c.expired {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline sets the deadlines of reads and writes.
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.SetWriteDeadline(t); err != nil {
+		return err
+	}
+	return c.SetReadDeadline(t)
+}
+
+// closeIfIdle makes the server close the connection unless it carries a request.
+// It lets the server's pending read time out instead of closing the connection
+// itself: a read either times out or returns data, so that no data is lost that
+// the server has read.
+func (c *conn) closeIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy {
+		return
+	}
+	c.expired = true
+	// An error means that the connection has closed.
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+func (c *conn) markIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = false
+}
+
+func (c *conn) state() (isNew, busy bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.carried, c.busy
+}
+
+// Close closes the connection. If the server drains and the connection has carried
+// a request, it waits until the caller has closed its side or sends more, which
+// both show that the caller has received the answer.
+func (c *conn) Close() error {
+	c.closeOnce.Do(func() {
+		if isNew, _ := c.state(); !isNew && c.tracker.isDraining() {
+			c.linger()
+		}
+		c.closeErr = c.Conn.Close()
+		c.tracker.remove(c)
+	})
+	return c.closeErr
+}
+
+func (c *conn) linger() {
+	if err := c.CloseWrite(); err != nil {
+		return
+	}
+	if err := c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)); err != nil {
+		return
+	}
+	var b [1]byte
+	// Whatever the read returns, the wait is over.
+	_, _ = c.Conn.Read(b[:])
+}
+
+// CloseWrite closes the connection for writing.
+func (c *conn) CloseWrite() error {
+	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.NotSupportedf("closing a %T for writing", c.Conn)
+	}
+	return w.CloseWrite()
+}
+
+// SyscallConn returns the raw connection.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.NotSupportedf("socket options of a %T", c.Conn)
+	}
+	return sc.SyscallConn()
+}
--- a/internal/levergate/gate.go
+++ b/internal/levergate/gate.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"arbutuslever.dev/lever/internal/leverdrain"
 	"arbutuslever.dev/lever/internal/leverlog"
 	"arbutuslever.dev/lever/internal/levernode"
 	"arbutuslever.dev/lever/internal/levertcp"
@@ -43,16 +44,18 @@
 
 	// front serves Callers, ready serves Ready.
 	front, ready *http.Server
+	// conns are the connections of front.
+	conns leverdrain.Tracker
 }
 
 // Serve starts serving both listeners and returns.
 func (g *Gate) Serve(callers, ready net.Listener) {
 	g.front = &http.Server{
-		Handler: g.Callers, ConnContext: withCallerConn,
+		Handler: g.Callers, ConnContext: withCallerConn, ConnState: g.conns.ConnState,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	g.ready = &http.Server{Handler: g.Ready, ReadHeaderTimeout: headerTimeout}
-	go g.runServer(g.front, callers)
+	go g.runServer(g.front, g.conns.Listener(callers))
 	go g.runServer(g.ready, ready)
 }
 
@@ -69,10 +72,11 @@
 	g.Log.Info("planned stop started", "in-flight", g.Node.Busy(), "grace", grace)
 	g.Node.Leave()
 	time.Sleep(time.Duration(drainFraction * float64(grace)))
+	g.logConns("the callers' listener closes")
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(time.Duration(endFraction*float64(grace))))
 	defer cancel()
 	if err := g.front.Shutdown(ctx); err != nil {
-		g.Log.Warn("the grace period ends with requests in flight", "in-flight", g.Node.Busy(), "err", err)
+		g.logConns("the grace period ends with open connections")
 	}
 	for g.Node.Busy() > 0 && ctx.Err() == nil {
 		time.Sleep(pollInterval)
@@ -83,6 +87,11 @@
 	g.Log.Info("process stopped", "took", time.Since(started).Round(time.Millisecond))
 }
 
+func (g *Gate) logConns(message string) {
+	s := g.conns.Stats()
+	g.Log.Info(message, "new", s.New, "idle", s.Idle, "busy", s.Busy, "in-flight", g.Node.Busy())
+}
+
 // Kill closes all listeners and connections at once, as if the process had been
 // killed.
 func (g *Gate) Kill() {
