internal/levergate: every request taken before a stop ends gets an answer

Cause: nothing bounded a request by the process's own end. A stopping VM took requests until 0.7 of the grace period whatever time they needed, and at 0.95 the process ended under those still in flight. Any request that takes 0.25 of the grace (1.5 s of 6 s) was cut: behind a silent or slow upstream, or waiting for a connection. http.Server.Shutdown moreover closes a connection whose request it has read after its begin, without an answer.

Change: the gate sets the time at which the VM's work ends (0.9 of the grace). The engine refuses a request as not run, to be retried at once, if less time is left than the route's objective or the class's usual slow call; limits the deadline of the others to the end; and at the end concludes what is in flight: an unsent attempt is withdrawn and answered as not run, a merged answer goes out with the parts it has, the rest gets 504. leverdrain closes idle connections and waits until the last answers have been received. This holds for delegated fan-outs and branches as well, as it is the engine's.

--- /dev/null
+++ b/internal/leverengine/ending.go
@@ -0,0 +1,110 @@
+package leverengine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"arbutuslever.dev/lever/internal/leverdirectory"
+	"arbutuslever.dev/lever/internal/levermetric"
+)
+
+const (
+	// endingRetryAfter is the retry delay suggested to callers whose requests the
+	// ending VM refuses: another VM can take them at once.
+	endingRetryAfter = 10 * time.Millisecond
+	// endingReason is the reason of requests that end with the VM's work.
+	endingReason = "the VM stops"
+)
+
+// ending is the end of a VM's work. The zero value has none. It is safe for
+// concurrent use.
+type ending struct {
+	mu     sync.Mutex
+	at     time.Time
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// context returns a context that is done at the end.
+func (n *ending) context() context.Context {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.init()
+}
+
+// init returns the context. The caller holds the mutex.
+func (n *ending) init() context.Context {
+	if n.ctx == nil {
+		n.ctx, n.cancel = context.WithCancel(context.Background())
+	}
+	return n.ctx
+}
+
+// limit returns the end if it is known and before t, otherwise t.
+func (n *ending) limit(t time.Time) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.at.IsZero() || t.Before(n.at) {
+		return t
+	}
+	return n.at
+}
+
+// EndBy makes all requests end by a time, with the answer that they have then.
+// Requests that arrive before it but are unlikely to be answered by then are
+// refused.
+func (e *Engine) EndBy(at time.Time) {
+	n := &e.ending
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.at = at
+	n.init()
+	e.Timer.RunAfter(at.Sub(e.Timer.Now()), n.cancel)
+}
+
+// refuseLate returns the outcome of a request that is unlikely to be answered
+// before the VM's work ends, and nil otherwise.
+func (e *Engine) refuseLate(req *Request, r *leverdirectory.Route) *Outcome {
+	now := e.Timer.Now()
+	deadline := req.deadline(r)
+	end := e.ending.limit(deadline)
+	if end.Equal(deadline) {
+		return nil
+	}
+	left, needed := end.Sub(now), max(r.Objective, e.Health.SlowAfter(classOf(r)))
+	if left >= needed {
+		return nil
+	}
+	rank := r.Rank.String()
+	e.Metrics.Add(levermetric.Name("requests", "verdict", NotRun.String(), "rank", rank), 1)
+	e.Log.Info("a request is refused because the VM stops", "id", req.ID, "route", r.Name, "rank", rank,
+		"stops-in", left.Round(logPrecision), "may-take", needed.Round(logPrecision))
+	return &Outcome{Verdict: NotRun, RetryAfter: endingRetryAfter, Reason: endingReason}
+}
+
+// delegateUntilEnd runs a request on another VM until the work of this VM ends.
+func (e *Engine) delegateUntilEnd(ctx context.Context, d Delegate, req *Request, view *leverdirectory.View, r *leverdirectory.Route) (*Outcome, bool) {
+	end := e.ending.context()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(end, cancel)()
+	out, ok := d.Run(ctx, req, view.Config.Version, r.MaxAttempts)
+	if ok && out.Verdict == CallerGone && end.Err() != nil {
+		return &Outcome{Verdict: Late, MaybeRan: out.MaybeRan, Reason: endingReason}, true
+	}
+	return out, ok
+}
+
+// endEarly makes the request end now. Attempts that were not sent are withdrawn
+// first, so that a request of which nothing was sent ends as not run.
+func (f *fanout) endEarly() {
+	f.deadline = f.engine.Timer.Now()
+	for _, a := range f.attempts {
+		a.exchange.Withdraw()
+	}
+	for len(f.results) > 0 {
+		f.handleResult(<-f.results)
+	}
+	f.reason = endingReason
+}
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -61,6 +61,7 @@
 	limiters      limiters
 	newConnResets newConnResets
 	inFlight      atomic.Int64
+	ending        ending
 }
 
 // Delegate runs requests on other VMs.
@@ -123,8 +124,11 @@
 		return e.recordUnrouted(req, view, &Outcome{Verdict: NotRun, RetryAfter: defaultRetryAfter, Reason: reason})
 	}
 	route = req.Overrides.apply(route)
+	if out := e.refuseLate(req, route); out != nil {
+		return out
+	}
 	if d != nil && len(route.Shards) > 0 && (e.Brancher == nil || !e.Brancher.Leads(route, view)) {
-		if out, ok := d.Run(ctx, req, view.Config.Version, route.MaxAttempts); ok {
+		if out, ok := e.delegateUntilEnd(ctx, d, req, view, route); ok {
 			return out
 		}
 	}
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -144,7 +144,7 @@
 // newFanout returns a request's fan-out over all parts of the route, or over those
 // of sub if that is not nil.
 func (e *Engine) newFanout(req *Request, v *leverdirectory.View, route *leverdirectory.Route, sub *SubRequest) *fanout {
-	f := &fanout{engine: e, req: req, view: v, route: route, version: v.Config.Version, class: leverhealth.Class(route.Name)}
+	f := &fanout{engine: e, req: req, view: v, route: route, version: v.Config.Version, class: classOf(route)}
 	f.startTime = e.Timer.Now()
 	f.mayHaveRun = req.PriorAttempts > 0
 	services := route.Shards
@@ -169,11 +169,7 @@
 	}
 	f.results = make(chan *attempt, len(f.parts)*f.maxSends())
 	e.Protocol.StripHeaders(req.Header)
-	wait := route.Timeout
-	if req.CallerTimeout > 0 && (wait == 0 || req.CallerTimeout < wait) {
-		wait = req.CallerTimeout
-	}
-	f.deadline = req.Received.Add(wait)
+	f.deadline = e.ending.limit(req.deadline(route))
 	f.partialAt = req.Received.Add(route.Objective - req.CallerRTT - e.answerLag.Estimate() - callerMargin)
 	f.latePartialAt = req.Received.Add(lateFactor * route.Objective)
 	f.hedgeAt = f.startTime.Add(min(e.Health.SlowAfter(f.class), time.Duration(maxHedgeDelayFraction*float64(route.Objective))))
@@ -190,6 +186,7 @@
 	if f.ended != nil {
 		defer close(f.ended)
 	}
+	end := f.engine.ending.context().Done()
 	var finished <-chan struct{}
 	if f.sub != nil {
 		finished = f.sub.request.Finished
@@ -207,6 +204,8 @@
 			f.handleBranchEvent(ev)
 		case now := <-alarm.C:
 			f.onTimer(now)
+		case <-end:
+			f.endEarly()
 		case <-finished:
 			return &Outcome{Verdict: CallerGone, Reason: "the other parts' answer was returned"}
 		case <-ctx.Done():
--- a/internal/leverengine/request.go
+++ b/internal/leverengine/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverdirectory"
+	"arbutuslever.dev/lever/internal/leverhealth"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leverpool"
 )
@@ -71,6 +72,18 @@
 	return &own
 }
 
+// deadline returns when the caller or the route's timeout ends the request.
+func (r *Request) deadline(route *leverdirectory.Route) time.Time {
+	wait := route.Timeout
+	if r.CallerTimeout > 0 && (wait == 0 || r.CallerTimeout < wait) {
+		wait = r.CallerTimeout
+	}
+	return r.Received.Add(wait)
+}
+
+// classOf returns the class of a route's requests.
+func classOf(r *leverdirectory.Route) leverhealth.Class { return leverhealth.Class(r.Name) }
+
 // Fingerprint returns a hash of the request's content, which excludes its id.
 func (r *Request) Fingerprint() leverid.Fingerprint {
 	return leverid.Fingerprint(leverid.Hash(r.Method, r.Host, r.URI, string(r.Body)))
--- a/internal/levergate/gate.go
+++ b/internal/levergate/gate.go
@@ -27,8 +27,11 @@
 	// drainFraction is the fraction of the grace period after which the listener
 	// is closed. By then the balancer has had time to notice.
 	drainFraction = 0.7
+	// answerFraction is the fraction of the grace period at which the last
+	// requests are answered.
+	answerFraction = 0.9
 	// endFraction is the fraction of the grace period at which the process ends.
-	endFraction = 0.95
+	endFraction = 0.97
 	// pollInterval is the interval at which a stopping process checks for
 	// requests in flight.
 	pollInterval = 10 * time.Millisecond
@@ -44,12 +47,14 @@
 
 	// front serves Callers, ready serves Ready.
 	front, ready *http.Server
-	// conns are the connections of front.
-	conns leverdrain.Tracker
+	// listener is that of front, conns are its connections.
+	listener net.Listener
+	conns    leverdrain.Tracker
 }
 
 // Serve starts serving both listeners and returns.
 func (g *Gate) Serve(callers, ready net.Listener) {
+	g.listener = callers
 	g.front = &http.Server{
 		Handler: g.Callers, ConnContext: withCallerConn, ConnState: g.conns.ConnState,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -60,25 +65,29 @@
 }
 
 func (g *Gate) runServer(s *http.Server, ln net.Listener) {
-	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) && !g.Node.Stopping() {
 		g.Log.Error("listener failed", "address", ln.Addr(), "err", err)
 	}
 }
 
 // Stop leaves the balancer's rotation, serves the requests that still arrive,
 // closes the callers' connections as they become idle and returns within grace.
+// Each request that was read is answered: those that can't be served in the time
+// left are refused, and those still in flight near its end get their final answer.
 func (g *Gate) Stop(grace time.Duration) {
 	started := time.Now()
+	at := func(fraction float64) time.Time { return started.Add(time.Duration(fraction * float64(grace))) }
 	g.Log.Info("planned stop started", "in-flight", g.Node.Busy(), "grace", grace)
 	g.Node.Leave()
-	time.Sleep(time.Duration(drainFraction * float64(grace)))
+	g.Node.EndBy(at(answerFraction))
+	time.Sleep(time.Until(at(drainFraction)))
 	g.logConns("the callers' listener closes")
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(time.Duration(endFraction*float64(grace))))
-	defer cancel()
-	if err := g.front.Shutdown(ctx); err != nil {
+	// An error means that the listener has closed.
+	_ = g.listener.Close()
+	if g.conns.Close(at(endFraction)) > 0 {
 		g.logConns("the grace period ends with open connections")
 	}
-	for g.Node.Busy() > 0 && ctx.Err() == nil {
+	for g.Node.Busy() > 0 && time.Now().Before(at(endFraction)) {
 		time.Sleep(pollInterval)
 	}
 	g.Node.Stop()
--- a/internal/levernode/life.go
+++ b/internal/levernode/life.go
@@ -138,6 +138,10 @@
 	n.members.MarkSelfLeaving()
 }
 
+// EndBy makes all requests end by a time, and refuses those that arrive too late
+// for it.
+func (n *Node) EndBy(at time.Time) { n.engine.EndBy(at) }
+
 // Busy returns the number of requests in flight, including those of other VMs
 // and the calls that this VM makes for them.
 func (n *Node) Busy() int {
