--- a/internal/leverlog/sink.go
+++ b/internal/leverlog/sink.go
@@ -18,7 +18,7 @@
 	messageBurst = 200
 	// flushTimeout bounds how long Close waits for a slow writer, because a
 	// process that stops has to end within its grace period.
-	flushTimeout = 200 * time.Millisecond
+	flushTimeout = 100 * time.Millisecond
 )
 
 // Sink is a writer that passes lines to a slow writer in the background. Lines
