cmd/arbutuslever: the own face answers each request that it has read before it ends

Callers of the native API saw connections end without an answer around a planned stop. Cause: http.Server.Shutdown closes a connection whose request it has just read, waits for connections without a request, and returns at its deadline with handlers running, which the exit cut, among them requests that must not be repeated and had run. Nothing bounded a request by the stop. Whether an answer closes its connection was decided when the request came, so requests that were in flight at SIGTERM left their connection open.

Change: daemon.stop sets the end of the work (0.8 of stop-limit-ms). leverquery.Engine.EndBy bounds the claims and the trials by it, and a request that has not run and has lost time to the stop is refused as `stopping`, with a retry delay; levernode's engine ends the fan-outs. leverdrain closes the connections as they become idle. Connection: close is decided when the answer is written.

TestPlannedStopCutsNoRequest sends 64 requests from 0.2 s before a stop of 3 s to its end, on new, idle and used connections, in virtual time. TestClaimOutlivedTheStop and TestRefusalNamesTheStop test EndBy, which is new.

--- a/cmd/arbutuslever/daemon.go
+++ b/cmd/arbutuslever/daemon.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"arbutuslever.dev/lever/internal/leverdrain"
 	"arbutuslever.dev/lever/internal/leverentry"
 	"arbutuslever.dev/lever/internal/leverkernel"
 	"arbutuslever.dev/lever/internal/leverlog"
@@ -28,6 +29,13 @@
 	writeTimeout   = 75 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 16 << 10
+	// answerFraction is the fraction of the limit of a stop at which the last
+	// requests are answered. The rest lets the claims of those that did not run
+	// be released and the answers reach their callers.
+	answerFraction = 0.8
+	// closeFraction is the fraction of the limit until which connections may
+	// remain open.
+	closeFraction = 0.9
 )
 
 // daemon serves this project's own protocols, the native API (leverkernel).
@@ -41,6 +49,7 @@
 	callerListener net.Listener
 	peerListener   net.Listener
 	http           *http.Server
+	conns          leverdrain.Tracker
 }
 
 // newDaemon opens the listeners before anything is started, so that start-up
@@ -107,7 +116,7 @@
 	ops := &leverops.API{Node: n, Keys: d.opsKeys}
 	ops.Register(mux)
 	return &http.Server{
-		Handler: mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
+		Handler: mux, ConnState: d.conns.ConnState, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
 		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 }
@@ -123,7 +132,9 @@
 }
 
 func (d *daemon) runServer() {
-	if err := d.http.Serve(d.callerListener); !errors.Is(err, http.ErrServerClosed) {
+	// TLS ends below the tracked connections, so that they count only the bytes
+	// of requests.
+	if err := d.http.Serve(d.conns.Listener(d.callerListener)); !errors.Is(err, http.ErrServerClosed) && !d.node.Leaving() {
 		d.log.For("daemon").Error("server for callers failed", "err", err)
 	}
 }
@@ -143,21 +154,34 @@
 }
 
 // stop performs a planned stop. It first announces the stop to the load
-// balancer and the peers, then waits for requests in flight and then ends the
-// node. It returns an error if the limit passed with requests in flight.
+// balancer and the peers, then closes the callers' connections as they become
+// idle, and then ends the node. Each request that was read is answered: those
+// that can't be served in the time left are refused, and those still in flight
+// near its end get their final answer. It returns an error if the limit passed
+// with requests in flight.
 func (d *daemon) stop() error {
 	l := d.log.For("daemon")
 	sys := d.node.Document().System
-	l.Info("planned stop started")
+	wait, limit := milliseconds(sys.StopWaitMS), milliseconds(sys.StopLimitMS)
+	closeAt := time.Now().Add(wait)
+	at := func(fraction float64) time.Time { return closeAt.Add(time.Duration(fraction * float64(limit))) }
+	l.Info("planned stop started", "in-flight", d.node.Engine().InFlight(), "wait", wait, "limit", limit)
+	d.node.EndBy(at(answerFraction))
 	d.node.Leave()
-	time.Sleep(time.Duration(sys.StopWaitMS) * time.Millisecond)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(sys.StopLimitMS)*time.Millisecond)
+	time.Sleep(time.Until(closeAt))
+	d.logConns("the callers' listener closes")
+	// An error means that the listener has closed.
+	_ = d.callerListener.Close()
+	open := d.conns.Close(at(closeFraction))
+	ctx, cancel := context.WithDeadline(context.Background(), at(1))
 	defer cancel()
-	err := d.http.Shutdown(ctx)
-	if drained := d.node.Drain(ctx); drained != nil {
-		err = drained
+	err := d.node.Drain(ctx)
+	if busy := d.conns.Stats().Busy; err == nil && open > 0 && busy > 0 {
+		err = errors.Errorf("%d connections were still busy when the stop timed out", busy)
 	}
 	d.node.Stop()
+	// The connections are closed even if this returns an error.
+	_ = d.http.Close()
 	if err != nil {
 		l.Error("planned stop cut requests in flight", "err", err)
 		return err
@@ -165,3 +189,10 @@
 	l.Info("process stopped")
 	return nil
 }
+
+func (d *daemon) logConns(message string) {
+	s := d.conns.Stats()
+	d.log.For("daemon").Info(message, "new", s.New, "idle", s.Idle, "busy", s.Busy, "in-flight", d.node.Engine().InFlight())
+}
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/leverentry/api.go
+++ b/internal/leverentry/api.go
@@ -75,8 +75,7 @@
 }
 
 // middleware recovers from a panic of next, counts it and answers the request
-// with a problem. During a planned stop it also sets Connection: close, so that
-// no caller sends a request on a connection that is about to be closed.
+// with a problem.
 func (api *API) middleware(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer func() {
@@ -86,9 +85,6 @@
 				api.writeProblem(w, "", &leverquery.Refusal{Reason: "internal", Run: leverid.MayHaveRun})
 			}
 		}()
-		if api.Leaving() {
-			w.Header().Set("Connection", "close")
-		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -220,11 +216,21 @@
 	if a.More {
 		out.Page = pageToken(a.Snapshot, a.Records[len(a.Records)-1].Key)
 	}
+	api.setConnection(w)
 	w.Header().Set("Content-Type", "application/json")
 	// A write error means that the caller has disconnected.
 	_ = json.NewEncoder(w).Encode(out)
 }
 
+// setConnection sets Connection: close during a planned stop, so that no caller
+// sends a request on a connection that is about to be closed. It is called when
+// an answer is written, because the stop may begin while a request runs.
+func (api *API) setConnection(w http.ResponseWriter) {
+	if api.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 func coverage(c leverquery.Coverage) leverapi.Coverage {
 	return leverapi.Coverage{
 		Covered: c.Covered, Total: c.Total, Missing: shardNumbers(c.Missing), Partial: shardNumbers(c.Partial),
@@ -253,6 +259,7 @@
 	if r.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
 	}
+	api.setConnection(w)
 	w.Header().Set("Content-Type", leverapi.ProblemType)
 	w.WriteHeader(status)
 	// A write error means that the caller has disconnected.
--- a/internal/leverkernel/life.go
+++ b/internal/leverkernel/life.go
@@ -132,6 +132,13 @@
 	_ = l.node.node.Peers().Invoke(ctx, l.vm, leverpeer.KindPing, nil, nil)
 }
 
+// EndBy makes all requests end by a time, with the answer that they have then,
+// and refuses those that arrive too late to be answered by then.
+func (n *Node) EndBy(at time.Time) {
+	n.engine.EndBy(at)
+	n.node.EndBy(at)
+}
+
 const (
 	drainPollInterval = 20 * time.Millisecond
 	// drainIdleTime is how long no request may be in flight before the VM
--- a/internal/leverquery/engine.go
+++ b/internal/leverquery/engine.go
@@ -46,6 +46,7 @@
 	mu         sync.Mutex
 	minLatency map[leverid.ServiceID]*minLatency
 	inFlight   atomic.Int64
+	ending     ending
 }
 
 // InFlight returns the number of requests in progress.
@@ -58,6 +59,9 @@
 	begin := e.Timer.Now()
 	e.Counters.Add("queries-"+req.Rank.String(), 1)
 	a, refusal := e.run(ctx, req, begin)
+	if refusal != nil {
+		refusal = e.stoppingRefusal(req, refusal)
+	}
 	e.record(req, a, refusal, e.Timer.Now().Sub(begin))
 	if refusal != nil {
 		return nil, refusal
@@ -100,7 +104,7 @@
 
 // precheck refuses requests that cannot be answered before their deadline.
 func (e *Engine) precheck(req *Request, now time.Time) *Refusal {
-	left := req.Deadline.Sub(now)
+	left := e.deadline(req).Sub(now)
 	if left <= 0 {
 		return &Refusal{Reason: DeadlinePassed}
 	}
--- a/internal/leverquery/execution.go
+++ b/internal/leverquery/execution.go
@@ -59,7 +59,7 @@
 func (x *execution) fanOut(ctx context.Context) *leverengine.Outcome {
 	for {
 		out := x.send(ctx, nil)
-		if out.Cause != leverengine.OnTrial || !x.engine.Timer.Now().Before(x.req.Deadline) || !x.engine.Timer.Sleep(ctx, trialPollInterval) {
+		if out.Cause != leverengine.OnTrial || !x.engine.Timer.Now().Before(x.engine.deadline(x.req)) || !x.engine.Timer.Sleep(ctx, trialPollInterval) {
 			return out
 		}
 	}
@@ -109,7 +109,7 @@
 // request a version, and the deadline has not passed.
 func (x *execution) restartMap(out *leverengine.Outcome) (leversnapshot.Map, bool) {
 	incomplete := out.Missing > 0 || out.Verdict != leverengine.Merged
-	if !incomplete || len(out.Absent) == 0 || x.req.Version != 0 || !x.engine.Timer.Now().Before(x.req.Deadline) {
+	if !incomplete || len(out.Absent) == 0 || x.req.Version != 0 || !x.engine.Timer.Now().Before(x.engine.deadline(x.req)) {
 		return leversnapshot.Map{}, false
 	}
 	var common leversnapshot.VersionRange
--- a/internal/leverquery/once.go
+++ b/internal/leverquery/once.go
@@ -37,7 +37,7 @@
 		return nil, refusal
 	}
 	// The process may have been suspended since the claim.
-	if ctx.Err() != nil || !e.Timer.Now().Before(req.Deadline) {
+	if ctx.Err() != nil || !e.Timer.Now().Before(e.deadline(req)) {
 		e.release(id, nonce)
 		return nil, &Refusal{Reason: DeadlinePassed, Detail: "deadline passed between claim and send"}
 	}
@@ -75,11 +75,13 @@
 	}, true
 }
 
-// claim claims the request's id before the request's deadline. It returns nil
+// claim claims the request's id before the request's deadline and the end of the
+// VM's work. It returns nil
 // if the request may be sent.
 func (e *Engine) claim(ctx context.Context, req *Request, id leverclaim.ID, n leverclaim.Nonce) *Refusal {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
+	defer context.AfterFunc(e.ending.context(), cancel)()
 	err := e.Claims.Claim(ctx, id, n)
 	switch {
 	case err == nil:
