internal/leverdrain: a kept connection is not taken for idle with its next request begun

Cause: idle was what the last ConnState hook said, though net/http reads ahead while a handler runs and serves buffered requests without a read. The wait for delivery read from the connection.

Change: a read after the last write, and the Active state, mark a connection as busy; delivery is what the kernel reports as acknowledged; the wait ends with Close's limit. A process that was paused across the limit gets 100 ms to write the answers that are due (TestCloseAfterAPause).

--- a/internal/leverdrain/conn.go
+++ b/internal/leverdrain/conn.go
@@ -18,6 +18,8 @@
 	// carried is set once the connection has carried a request, busy while it
 	// carries one.
 	carried, busy bool
+	// readSinceWrite is set if the last data on the connection was read from it.
+	readSinceWrite bool
 	// expired is set while closeIfIdle has replaced the read deadline.
 	expired      bool
 	readDeadline time.Time
@@ -33,16 +35,32 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.carried, c.busy = true, true
-	if c.expired {
-		c.expired = false
-		if restoreErr := c.Conn.SetReadDeadline(c.readDeadline); err == nil {
-			err = restoreErr
-		}
+	c.readSinceWrite = true
+	if restoreErr := c.setBusy(); err == nil {
+		err = restoreErr
 	}
 	return n, err
 }
 
+// Write sends data.
+func (c *conn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	c.readSinceWrite = false
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+// setBusy marks the connection as busy and restores the read deadline that the
+// server has set. The caller holds the mutex.
+func (c *conn) setBusy() error {
+	c.carried, c.busy = true, true
+	if !c.expired {
+		return nil
+	}
+	c.expired = false
+	return c.Conn.SetReadDeadline(c.readDeadline)
+}
+
 // SetReadDeadline sets the deadline of reads unless closeIfIdle has ended them.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -77,10 +95,21 @@
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
+// markActive marks the connection as busy: the server has read a request, maybe
+// together with the one before.
+func (c *conn) markActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// An error means that the connection has closed.
+	_ = c.setBusy()
+}
+
+// markIdle marks the connection as idle after an answer, unless the server has
+// read the beginning of the next request since it wrote the answer.
 func (c *conn) markIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = false
+	c.busy = c.readSinceWrite
 }
 
 func (c *conn) state() (isNew, busy bool) {
@@ -90,8 +119,7 @@
 }
 
 // Close closes the connection. If the server drains and the connection has carried
-// a request, it waits until the caller has closed its side or sends more, which
-// both show that the caller has received the answer.
+// a request, it waits until the caller's host has received the answer.
 func (c *conn) Close() error {
 	c.closeOnce.Do(func() {
 		if isNew, _ := c.state(); !isNew && c.tracker.isDraining() {
@@ -103,16 +131,16 @@
 	return c.closeErr
 }
 
+// linger does not read, because a request that crosses the close must stay unread.
 func (c *conn) linger() {
 	if err := c.CloseWrite(); err != nil {
 		return
 	}
-	if err := c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)); err != nil {
-		return
+	for until := time.Now().Add(lingerTimeout); time.Now().Before(until); time.Sleep(pollInterval) {
+		if delivered, err := c.tracker.delivered(c); delivered || err != nil {
+			return
+		}
 	}
-	var b [1]byte
-	// Whatever the read returns, the wait is over.
-	_, _ = c.Conn.Read(b[:])
 }
 
 // CloseWrite closes the connection for writing.
--- a/internal/leverdrain/drain.go
+++ b/internal/leverdrain/drain.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"arbutuslever.dev/lever/internal/levertcp"
 )
 
 const (
@@ -17,14 +19,22 @@
 	// firstRequestWait is how long a new connection may stay open for its first
 	// request after Close has been called.
 	firstRequestWait = 500 * time.Millisecond
-	// lingerTimeout bounds how long a connection waits for its caller to close it
-	// after the last answer.
+	// lingerTimeout bounds how long a connection waits until the caller's host has
+	// received the last answer.
 	lingerTimeout = 500 * time.Millisecond
+	// pauseThreshold is the time between two polls from which on the process counts
+	// as having been paused. It then has pauseAllowance to write the answers that
+	// became due meanwhile.
+	pauseThreshold = 100 * time.Millisecond
+	pauseAllowance = 100 * time.Millisecond
 )
 
 // Tracker tracks the connections of one http.Server. The zero value is ready to
 // use. It is safe for concurrent use.
 type Tracker struct {
+	// Delivered replaces levertcp.IsDelivered in tests.
+	Delivered func(net.Conn) (bool, error)
+
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	draining bool
@@ -42,11 +52,22 @@
 
 // ConnState must be set as the ConnState hook of the server.
 func (t *Tracker) ConnState(c net.Conn, s http.ConnState) {
-	if c, ok := c.(*conn); ok && s == http.StateIdle {
-		c.markIdle()
+	conn, ok := c.(*conn)
+	switch {
+	case ok && s == http.StateActive:
+		conn.markActive()
+	case ok && s == http.StateIdle:
+		conn.markIdle()
 	}
 }
 
+func (t *Tracker) delivered(c net.Conn) (bool, error) {
+	if t.Delivered != nil {
+		return t.Delivered(c)
+	}
+	return levertcp.IsDelivered(c)
+}
+
 // Stats counts the open connections.
 func (t *Tracker) Stats() Stats {
 	var s Stats
@@ -67,13 +88,19 @@
 // at the time until. The listener must have been closed and the server must ask
 // callers to close their connections.
 func (t *Tracker) Close(until time.Time) int {
-	t.mu.Lock()
-	t.draining = true
-	t.mu.Unlock()
+	t.setDraining(true)
+	// The connections that are left are closed without waiting for their callers.
+	defer t.setDraining(false)
 	started := time.Now()
-	for {
+	// The process may also have been paused before.
+	until = later(until, started.Add(pauseAllowance))
+	for last := started; ; {
 		conns := t.list()
 		now := time.Now()
+		if now.Sub(last) > pauseThreshold {
+			until = later(until, now.Add(pauseAllowance))
+		}
+		last = now
 		if len(conns) == 0 || !now.Before(until) {
 			return len(conns)
 		}
@@ -86,6 +113,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (t *Tracker) list() []*conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -111,6 +145,12 @@
 	delete(t.conns, c)
 }
 
+func (t *Tracker) setDraining(v bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.draining = v
+}
+
 func (t *Tracker) isDraining() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/leverdrain/drain_test.go
+++ b/internal/leverdrain/drain_test.go
@@ -143,20 +143,19 @@
 	})
 }
 
-// slowCaller is a connection whose caller receives the answer a while after the
-// server has stopped writing, and then closes its side.
+// slowCaller is a connection whose caller's host receives the answer a while after
+// the server has stopped writing.
 type slowCaller struct {
 	net.Conn
 	delivered atomic.Bool
 	lost      *atomic.Bool
 }
 
+// deliveryTime is the time until a slowCaller's answer is delivered.
+const deliveryTime = 300 * time.Millisecond
+
 func (c *slowCaller) CloseWrite() error {
-	time.AfterFunc(300*time.Millisecond, func() {
-		c.delivered.Store(true)
-		// The pending read ends, as it does when the caller closes its side.
-		_ = c.Conn.SetReadDeadline(time.Now())
-	})
+	time.AfterFunc(deliveryTime, func() { c.delivered.Store(true) })
 	return nil
 }
 
@@ -168,6 +167,7 @@
 // slowListener makes callers slow.
 type slowListener struct {
 	net.Listener
+	last atomic.Pointer[slowCaller]
 	lost atomic.Bool
 }
 
@@ -176,7 +176,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &slowCaller{Conn: c, lost: &l.lost}, nil
+	s := &slowCaller{Conn: c, lost: &l.lost}
+	l.last.Store(s)
+	return s, nil
+}
+
+// newSlowServer returns a server whose callers are slow.
+func newSlowServer() (*server, *slowListener) {
+	s := newServer()
+	l := &slowListener{Listener: s.listener}
+	s.listener = l
+	s.conns.Delivered = func(net.Conn) (bool, error) { return l.last.Load().delivered.Load(), nil }
+	return s, l
 }
 
 // TestCloseWaitsForDelivery checks that Close returns only when the last answer
@@ -184,9 +195,7 @@
 func TestCloseWaitsForDelivery(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := newServer()
-		slow := &slowListener{Listener: s.listener}
-		s.listener = slow
+		s, slow := newSlowServer()
 		go s.run()
 		c, err := s.net.Dial(context.Background(), "caller", "server")
 		is.NoErr(err)
@@ -201,3 +210,54 @@
 		is.NoErr(c.Close())
 	})
 }
+
+// TestServerCloseAfterTheLimit closes the server when Close has returned at its
+// limit. That must not wait for each slow caller in turn, with the server's lock
+// held.
+func TestServerCloseAfterTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newSlowServer()
+		s.http.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Minute) })
+		go s.run()
+		const callers = 4
+		var conns []net.Conn
+		for range callers {
+			c, err := s.net.Dial(context.Background(), "caller", "server")
+			is.NoErr(err)
+			_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			is.NoErr(err)
+			conns = append(conns, c)
+		}
+		time.Sleep(10 * time.Millisecond)
+		is.NoErr(s.listener.Close())
+		is.Equal(s.conns.Close(time.Now().Add(time.Second)), callers)
+		started := time.Now()
+		is.NoErr(s.http.Close())
+		is.Equal(time.Since(started), time.Duration(0))
+		for _, c := range conns {
+			is.NoErr(c.Close())
+		}
+		time.Sleep(2 * time.Minute)
+	})
+}
+
+// TestCloseAfterAPause stops the process's work across the limit, as a frozen VM
+// does. The answers that became due meanwhile must still be written.
+func TestCloseAfterAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newServer()
+		go s.run()
+		c, err := s.net.Dial(context.Background(), "caller", "server")
+		is.NoErr(err)
+		var wg sync.WaitGroup
+		wg.Go(func() { is.Equal(exchange(c), http.StatusNoContent) })
+		time.Sleep(10 * time.Millisecond)
+		is.NoErr(s.listener.Close())
+		is.Equal(s.conns.Close(time.Now().Add(-time.Second)), 0)
+		wg.Wait()
+		is.NoErr(s.http.Close())
+		is.NoErr(c.Close())
+	})
+}
--- a/internal/levertcp/tcp_linux.go
+++ b/internal/levertcp/tcp_linux.go
@@ -49,6 +49,21 @@
 	return rtt, err
 }
 
+// IsDelivered reports whether the peer has acknowledged all data that was sent on a
+// connection, and its end if it was closed for writing.
+func IsDelivered(c net.Conn) (bool, error) {
+	delivered := false
+	err := withSocketFD(c, func(fd int) error {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return err
+		}
+		delivered = info.Unacked == 0 && info.Notsent_bytes == 0
+		return nil
+	})
+	return delivered, err
+}
+
 func withSocketFD(c net.Conn, f func(fd int) error) error {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
