cmd/arbutuslever: help reads no settings; an unset settings variable is named

Cause: the command ignored its arguments and took the empty path for a file that is just being written. Change: all commands parse their flags in one function, before settings are read; an empty variable is an error at once.

--- a/cmd/arbutusctl/docs_test.go
+++ b/cmd/arbutusctl/docs_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"github.com/jessevdk/go-flags"
 	"github.com/matryer/is"
 )
 
@@ -44,3 +45,28 @@
 		})
 	}
 }
+
+// TestHelpOfEachCommand asks each command for help, with no VM to ask.
+func TestHelpOfEachCommand(t *testing.T) {
+	p := flags.NewNamedParser("arbutusctl", flags.HelpFlag)
+	addCommands(p, &commonOptions{})
+	for _, c := range p.Commands() {
+		testHelp(t, c, nil)
+	}
+}
+
+func testHelp(t *testing.T, c *flags.Command, parents []string) {
+	args := append(parents[:len(parents):len(parents)], c.Name)
+	t.Run(strings.Join(args, " "), func(t *testing.T) {
+		is := is.New(t)
+		var out, errOut bytes.Buffer
+		is.Equal(run(append(args[:len(args):len(args)], "--help"), &out, &errOut), exitOK)
+		is.Equal(errOut.String(), "")
+		if !strings.Contains(out.String(), "Usage:") || !strings.Contains(out.String(), c.Name) {
+			t.Errorf("output %q is not the command's usage", out.String())
+		}
+	})
+	for _, sub := range c.Commands() {
+		testHelp(t, sub, args)
+	}
+}
--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -55,9 +55,20 @@
 
 func init() { commands.Register("entry", runEntry) }
 
+const entryHelp = `Serves the platform's protocols on this VM.
+
+The environment variable ` + platform.SettingsVariable + ` holds the path of the settings file
+(JSON). SIGHUP reloads it, SIGTERM and SIGINT stop the process.`
+
 // runEntry serves the protocols of package platform until a signal ends it.
-func runEntry(_ []string, sig *signals) error {
+func runEntry(args []string, sig *signals) error {
+	if err := parseFlags("arbutuslever entry", entryHelp, &struct{}{}, args); err != nil {
+		return err
+	}
 	path := os.Getenv(platform.SettingsVariable)
+	if path == "" {
+		return errors.NotFoundf("path of the settings file: environment variable %s", platform.SettingsVariable)
+	}
 	var s *platform.Settings
 	if err := sig.start(func() (err error) {
 		s, err = awaitSettings(path, time.Now().Add(settingsWait))
--- a/cmd/arbutuslever/main.go
+++ b/cmd/arbutuslever/main.go
@@ -48,6 +48,9 @@
 	if err == nil {
 		err = run(args, sig)
 	}
+	if errors.Is(err, errHelp) {
+		return
+	}
 	if errors.Is(err, errStopped) {
 		os.Stderr.WriteString("arbutuslever: " + err.Error() + "\n")
 		return
@@ -58,14 +61,35 @@
 	}
 }
 
+// errHelp means that the command line asked for help, which was printed.
+const errHelp = errors.ConstError("help was printed")
+
+// parseFlags parses a command's arguments into the fields of o. If they ask for
+// help, it prints the usage and returns errHelp.
+func parseFlags(name, help string, o any, args []string) error {
+	p := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
+	p.LongDescription = help
+	if _, err := p.AddGroup("Options", "", o); err != nil {
+		return err
+	}
+	_, err := p.ParseArgs(args)
+	var e *flags.Error
+	if errors.As(err, &e) && e.Type == flags.ErrHelp {
+		os.Stdout.WriteString(e.Message + "\n")
+		return errHelp
+	}
+	return err
+}
+
+const ownHelp = `Serves the query tier's native API on this VM.
+
+"arbutuslever entry" serves the platform's protocols instead; see
+"arbutuslever entry --help".`
+
 // runDefault runs the daemon with the protocols of this project.
 func runDefault(args []string, sig *signals) error {
 	var o options
-	if _, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args); err != nil {
-		if e, ok := err.(*flags.Error); ok && e.Type == flags.ErrHelp {
-			os.Stdout.WriteString(e.Message + "\n")
-			return nil
-		}
+	if err := parseFlags("arbutuslever", ownHelp, &o, args); err != nil {
 		return err
 	}
 	var s *leversettings.VM
