cmd/arbutuslever: a reader that doesn't read the logs no longer holds the own face

Seen: with the pipe of standard error full, the daemon of the native API blocked at its next log line; a SIGTERM then never ended it, and SIGKILL would cut what was in flight.

Cause: the daemon wrote its lines to standard error itself, unlike the entry, whose lines go through leverlog.Sink. Change: it uses a Sink as well, which drops and counts lines, and closes it at the end.

TestBlockedOutputHeldTheStop fills the pipe of a child process and sends SIGHUP and SIGTERM.

--- a/cmd/arbutuslever/daemon.go
+++ b/cmd/arbutuslever/daemon.go
@@ -42,6 +42,7 @@
 type daemon struct {
 	settings       *leversettings.VM
 	reload         func() (*leversettings.VM, error)
+	sink           *leverlog.Sink
 	log            leverlog.Logger
 	node           *leverkernel.Node
 	peerKeys       *leverpeer.Keys
@@ -55,8 +56,9 @@
 // newDaemon opens the listeners before anything is started, so that start-up
 // fails if a port is in use.
 func newDaemon(s *leversettings.VM, reload func() (*leversettings.VM, error)) (*daemon, error) {
+	sink := leverlog.NewSink(os.Stderr)
 	d := &daemon{
-		settings: s, reload: reload, log: leverlog.New(os.Stderr, s.LogLevel, string(s.VM)),
+		settings: s, reload: reload, sink: sink, log: leverlog.New(sink, s.LogLevel, string(s.VM)),
 		peerKeys: leverpeer.NewKeys(s.PeerKeys...), opsKeys: leverpeer.NewKeys(s.OperatorKeys...),
 	}
 	serverTLS, clientTLS, err := s.TLS.Configs()
@@ -124,6 +126,7 @@
 // serve runs until SIGTERM or SIGINT, then performs a planned stop. SIGHUP
 // reloads the keys.
 func (d *daemon) serve(sig *signals) error {
+	defer d.sink.Close()
 	d.node.Start(d.peerListener)
 	go d.runServer()
 	d.log.For("daemon").Info("process started", "callers", d.settings.CallerListen, "peers", d.settings.PeerListen)
--- a/cmd/arbutuslever/program_test.go
+++ b/cmd/arbutuslever/program_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -179,6 +180,49 @@
 	}
 }
 
+// fill ends the reader of the program's output, with a line that is too long for
+// it, and fills the pipe.
+func (p *program) fill() {
+	p.t.Helper()
+	is := is.New(p.t)
+	raw, err := p.pipe.SyscallConn()
+	is.NoErr(err)
+	var path string
+	is.NoErr(raw.Control(func(fd uintptr) { path = fmt.Sprintf("/proc/self/fd/%d", fd) }))
+	w, err := syscall.Open(path, syscall.O_WRONLY|syscall.O_NONBLOCK, 0)
+	is.NoErr(err)
+	p.t.Cleanup(func() { _ = syscall.Close(w) })
+	read := p.lines
+	for {
+		_, err := syscall.Write(w, make([]byte, 4096))
+		if err == nil {
+			continue
+		}
+		is.Equal(err, syscall.EAGAIN)
+		if read == nil {
+			return
+		}
+		if _, ok := <-read; !ok {
+			read = nil
+		}
+	}
+}
+
+// TestBlockedOutputHeldTheStop fills the pipe of the logs, which nobody reads
+// any more.
+func TestBlockedOutputHeldTheStop(t *testing.T) {
+	for command, text := range faces {
+		t.Run(command, func(t *testing.T) {
+			t.Parallel()
+			p := startProgram(t, command, settingsFile(t, text))
+			p.await("process started")
+			p.fill()
+			p.signal(syscall.SIGHUP, syscall.SIGTERM)
+			p.wait()
+		})
+	}
+}
+
 // TestSignalsBeforeTheStart sends signals while the settings are being read.
 func TestSignalsBeforeTheStart(t *testing.T) {
 	for command, text := range faces {
