internal/leverengine: requests that end with the VM's work end as what they are

Cause: the end was both the deadline of requests begun in the stop and a signal of its own, and the deadline's alarm, which knows nothing of unsent attempts, came first.

Change: only the signal ends a request; the deadline that an upstream gets is limited to the end. An attempt notes that it may have been sent, so that a withdrawn one counts as not run before its result is in. No attempt starts when the request is over. A runner gets the end as the caller's timeout.

--- a/internal/leverengine/attempt.go
+++ b/internal/leverengine/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverdirectory"
@@ -18,6 +19,10 @@
 	upstream *leverdirectory.Upstream
 	started  time.Time
 	exchange Exchange
+	// sent is set when the call may have been sent.
+	sent atomic.Bool
+	// handled is set when the request knows the result.
+	handled bool
 
 	// The following are set when the call has ended.
 
@@ -65,8 +70,9 @@
 // header returns the additional headers of the call. It is called when the call
 // is sent, because they state the remaining time.
 func (a *attempt) header() http.Header {
-	f := a.fanout
-	return f.engine.Protocol.AttemptHeaders(f.deadline.Sub(f.engine.Timer.Now()), a.upstream)
+	a.sent.Store(true)
+	e := a.fanout.engine
+	return e.Protocol.AttemptHeaders(e.ending.limit(a.fanout.deadline).Sub(e.Timer.Now()), a.upstream)
 }
 
 // checkHead parses the head of a response and rejects one that belongs to
--- a/internal/leverengine/conclude.go
+++ b/internal/leverengine/conclude.go
@@ -9,7 +9,7 @@
 
 // conclude returns the request's outcome, or nil if the request must go on.
 func (f *fanout) conclude(now time.Time) *Outcome {
-	late := !now.Before(f.deadline)
+	late := f.isOver(now)
 	if f.sub != nil {
 		return f.sub.conclude(f, now)
 	}
--- a/internal/leverengine/ending.go
+++ b/internal/leverengine/ending.go
@@ -76,15 +76,26 @@
 	if left >= needed {
 		return nil
 	}
+	out := &Outcome{Verdict: NotRun, RetryAfter: endingRetryAfter, Reason: endingReason}
+	if req.PriorAttempts > 0 {
+		// Another VM may have run the request.
+		out.Verdict, out.MaybeRan = MayHaveRun, true
+	}
 	rank := r.Rank.String()
-	e.Metrics.Add(levermetric.Name("requests", "verdict", NotRun.String(), "rank", rank), 1)
+	e.Metrics.Add(levermetric.Name("requests", "verdict", out.Verdict.String(), "rank", rank), 1)
 	e.Log.Info("a request is refused because the VM stops", "id", req.ID, "route", r.Name, "rank", rank,
 		"stops-in", left.Round(logPrecision), "may-take", needed.Round(logPrecision))
-	return &Outcome{Verdict: NotRun, RetryAfter: endingRetryAfter, Reason: endingReason}
+	return out
 }
 
-// delegateUntilEnd runs a request on another VM until the work of this VM ends.
+// delegateUntilEnd runs a request on another VM until the work of this VM ends. If
+// the end is known, the other VM gets it as the caller's timeout.
 func (e *Engine) delegateUntilEnd(ctx context.Context, d Delegate, req *Request, view *leverdirectory.View, r *leverdirectory.Route) (*Outcome, bool) {
+	deadline, timeout := req.deadline(r), req.CallerTimeout
+	if at := e.ending.limit(deadline); at.Before(deadline) {
+		req.CallerTimeout = at.Sub(req.Received)
+		defer func() { req.CallerTimeout = timeout }()
+	}
 	end := e.ending.context()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -96,15 +107,28 @@
 	return out, ok
 }
 
+// isOver reports whether the request must end now, with the answer that it has.
+func (f *fanout) isOver(now time.Time) bool { return f.endedEarly || !now.Before(f.deadline) }
+
 // endEarly makes the request end now. Attempts that were not sent are withdrawn
 // first, so that a request of which nothing was sent ends as not run.
 func (f *fanout) endEarly() {
-	f.deadline = f.engine.Timer.Now()
+	f.endedEarly = true
+	unsent := make(map[*attempt]bool)
 	for _, a := range f.attempts {
-		a.exchange.Withdraw()
+		unsent[a] = a.exchange.Withdraw() && !a.sent.Load()
 	}
 	for len(f.results) > 0 {
-		f.handleResult(<-f.results)
+		a := <-f.results
+		delete(unsent, a)
+		f.handleResult(a)
+	}
+	// The results of the others may come later.
+	for _, a := range f.attempts {
+		if unsent[a] && !a.handled {
+			f.parts[a.part].inFlight--
+			f.parts[a.part].possibleRuns--
+		}
 	}
 	f.reason = endingReason
 }
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -104,6 +104,8 @@
 // schedule holds the points in time at which the request changes its behavior.
 type schedule struct {
 	startTime, deadline time.Time
+	// endedEarly is set when the VM's work has ended before the deadline.
+	endedEarly bool
 	// partialAt is when an answer with the minimum coverage is returned.
 	// latePartialAt is when it is returned if the minimum coverage is reached
 	// only after partialWindow.
@@ -169,7 +171,7 @@
 	}
 	f.results = make(chan *attempt, len(f.parts)*f.maxSends())
 	e.Protocol.StripHeaders(req.Header)
-	f.deadline = e.ending.limit(req.deadline(route))
+	f.deadline = req.deadline(route)
 	f.partialAt = req.Received.Add(route.Objective - req.CallerRTT - e.answerLag.Estimate() - callerMargin)
 	f.latePartialAt = req.Received.Add(lateFactor * route.Objective)
 	f.hedgeAt = f.startTime.Add(min(e.Health.SlowAfter(f.class), time.Duration(maxHedgeDelayFraction*float64(route.Objective))))
@@ -270,7 +272,7 @@
 func (f *fanout) startAttempt(i int, extra bool) {
 	p := &f.parts[i]
 	now := f.engine.Timer.Now()
-	if len(p.tried) >= f.maxSends() {
+	if len(p.tried) >= f.maxSends() || f.isOver(now) {
 		p.exhausted = p.inFlight == 0
 		return
 	}
@@ -311,6 +313,7 @@
 // handleResult updates the request with the result of an attempt.
 func (f *fanout) handleResult(a *attempt) {
 	p := &f.parts[a.part]
+	a.handled = true
 	p.inFlight--
 	if a.mayHaveArrived() {
 		p.possibleArrivals++
@@ -369,7 +372,7 @@
 		p.possibleRuns >= f.maxRuns(),
 		!f.gather && p.notRun >= notRunLimit,
 		f.trial && a.mayHaveRun(),
-		!f.engine.Timer.Now().Before(f.deadline):
+		f.isOver(f.engine.Timer.Now()):
 		p.exhausted = p.inFlight == 0
 	case p.inFlight > 0:
 		// Another attempt is still in flight.
--- a/internal/leverengine/subfanout.go
+++ b/internal/leverengine/subfanout.go
@@ -89,7 +89,7 @@
 		}
 	}
 	trialFailed := f.trial && f.parts[f.trialPart].exhausted
-	if settled == len(f.parts) || trialFailed || !now.Before(f.deadline) {
+	if settled == len(f.parts) || trialFailed || f.isOver(now) {
 		return &Outcome{Verdict: Merged, Reason: f.reason}
 	}
 	if !now.Before(s.nextReport) && (s.pending > 0 || s.first) {
