leverfeed: a list that is answered 410 counts as a failed call

From the code: a follower lists again at once when the history is lost, without a pause, as the list is expected to go on. A store that answers 410 to the list too was called as fast as the network allowed.

Change: only a watch can lose the history. The same answer to a list is a failed call, with its growing pause.

Test: TestListWithoutPause; on the code before, the follower made no second call after its hook and would not have let virtual time pass without it. It passes now.

--- a/internal/leverfeed/follower.go
+++ b/internal/leverfeed/follower.go
@@ -139,13 +139,14 @@
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var err error
-	if f.beginCall(cancel) {
+	listing := f.beginCall(cancel)
+	if listing {
 		err = f.list(call)
 	} else {
 		err = f.watch(call)
 	}
 	switch {
-	case errors.Is(err, ErrHistoryLost):
+	case errors.Is(err, ErrHistoryLost) && !listing:
 		f.Log.Warn("the store has lost its history; listing the collection again", "collection", f.Name, "since", f.revision)
 		f.Relist()
 		if f.OnHistoryLost != nil {
--- a/internal/leverfeed/follower_test.go
+++ b/internal/leverfeed/follower_test.go
@@ -296,3 +296,33 @@
 		})
 	}
 }
+
+// goneSource answers each call that the history is lost.
+type goneSource struct{ source }
+
+func (s *goneSource) List(context.Context) (leverfeed.Batch[int], error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	return leverfeed.Batch[int]{}, leverfeed.ErrHistoryLost
+}
+
+// TestListWithoutPause guards against a store that is called without a pause while it
+// answers lists as if they needed its history.
+func TestListWithoutPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &goneSource{}
+		f := &leverfeed.Follower[int]{Name: "c", Source: s, Timer: &levertimer.Service{}, Pause: time.Second, Apply: func(map[string]int, leverfeed.Revision) {}}
+		ctx, cancel := context.WithCancel(t.Context())
+		// A follower that does not pause would not let virtual time pass.
+		f.OnHistoryLost = cancel
+		go f.Run(ctx)
+		time.Sleep(10 * time.Second)
+		n := s.callCount()
+		is.True(n > 1)
+		is.True(n <= 20) // the pauses grow to a second
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
