leverpool: bytes that are no answer are no sign of a crash

What callers saw: an upstream that answers with a head that is no answer ('Content- Length: all', two lengths, an unknown transfer coding) was recorded as one whose connection closed without an answer. That is the evidence from which content is believed to crash upstreams, so that requests could be barred for a broken upstream. The other way round, a connection that closed after an informational response and before an answer was taken for a truncated answer.

Cause: the error of a head was told apart by the word 'malformed' in its text, which eight of the errors of net/http do not have.

Change: once the first byte of an answer is there, each error is a bad response; a connection that closes before it, also after informational responses, is a reset. The same holds for a close and for a reset on the way.

--- a/internal/leverpool/conn.go
+++ b/internal/leverpool/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -156,7 +155,7 @@
 func (c *conn) readResponse(x *Exchange) (*Reply, bool, error) {
 	resp, err := c.readHead(x.call.Method)
 	if err != nil {
-		return nil, false, readError(err)
+		return nil, false, err
 	}
 	c.source.endHead()
 	// The body is not closed after an error: Close would read the rest, which may
@@ -179,25 +178,26 @@
 	return reply, !resp.Close && limit > 0 && c.written() && c.r.Buffered() == 0, nil
 }
 
-// readHead reads the head of a response and skips informational (1xx) ones.
+// readHead reads the head of a response and skips informational (1xx) ones. Its error
+// distinguishes an invalid or truncated head from a connection that closed before one
+// began.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	for {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		if err != nil {
+			return nil, errors.Annotate(ErrBadResponse, err.Error())
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+		if _, err := c.r.Peek(1); errors.Is(err, errHeadTooLong) {
+			return nil, errors.Annotate(ErrBadResponse, err.Error())
+		} else if err != nil {
+			return nil, errors.Annotatef(ErrReset, "after status %d: %v", resp.StatusCode, err)
 		}
 	}
 }
 
-// readError distinguishes an invalid or truncated response from a connection
-// that closed before one.
-func readError(err error) error {
-	if strings.Contains(err.Error(), "malformed") || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errHeadTooLong) {
-		return errors.Annotate(ErrBadResponse, err.Error())
-	}
-	return errors.Annotate(ErrReset, err.Error())
-}
-
 // idleLimit returns how long a connection may stay idle, from the Keep-Alive
 // header of a response.
 func idleLimit(h http.Header) time.Duration {
