leverpool: a field that only resembles Content-Length is no framing

Change: a head with a space or another byte that is not visible ASCII in a field's name is a bad response, as is one of a protocol other than HTTP/1.

Test: TestInvalidHeadCountsAsReset has four more cases. 'length with a space', 'field with a space' and 'another version' failed on the code before; net/http itself rejects the tab.

--- a/internal/leverpool/conn.go
+++ b/internal/leverpool/conn.go
@@ -187,6 +187,9 @@
 		if err != nil {
 			return nil, errors.Annotate(ErrBadResponse, err.Error())
 		}
+		if err := checkProtocol(resp); err != nil {
+			return nil, errors.Annotate(ErrBadResponse, err.Error())
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
@@ -198,6 +201,23 @@
 	}
 }
 
+// checkProtocol returns an error for a head whose framing can't be relied on: of
+// another protocol version, or with a field that net/http does not take for the one
+// it resembles, such as "Content-Length ".
+func checkProtocol(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return errors.Errorf("response in protocol %.20q", resp.Proto)
+	}
+	for name := range resp.Header {
+		for _, c := range []byte(name) {
+			if c <= ' ' || c > '~' {
+				return errors.Errorf("response with the header field %.40q", name)
+			}
+		}
+	}
+	return nil
+}
+
 // idleLimit returns how long a connection may stay idle, from the Keep-Alive
 // header of a response.
 func idleLimit(h http.Header) time.Duration {
--- a/internal/leverpool/cut_test.go
+++ b/internal/leverpool/cut_test.go
@@ -222,6 +222,7 @@
 	cases := map[string]string{
 		"no protocol":              "none\r\n\r\n",
 		"another protocol":         "SSH-2.0-x\r\n",
+		"another version":          "HTTP/9.9 200 OK\r\n\r\n",
 		"version without a number": "HTTP/x 200 OK\r\n\r\n",
 		"status of two digits":     "HTTP/1.1 20 OK\r\n\r\n",
 		"negative status":          "HTTP/1.1 -20 OK\r\n\r\n",
@@ -234,6 +235,9 @@
 		"two encodings":            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 		"field without a colon":    "HTTP/1.1 200 OK\r\nX\r\n\r\n",
 		"field without a name":     "HTTP/1.1 200 OK\r\n: x\r\n\r\n",
+		"field with a space":       "HTTP/1.1 200 OK\r\nX : x\r\n\r\n",
+		"length with a space":      "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\na",
+		"length with a tab":        "HTTP/1.1 200 OK\r\nContent-Length\t: 2\r\n\r\na",
 		"fold without a field":     "HTTP/1.1 200 OK\r\n x\r\n\r\n",
 		"forbidden trailer":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Content-Length\r\n\r\n0\r\n\r\n",
 		"chunk of no size":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n",
