--- a/internal/leverpool/cut_test.go
+++ b/internal/leverpool/cut_test.go
@@ -256,3 +256,18 @@
 		})
 	}
 }
+
+// TestDialToOddAddress guards against a process that ends, or a call without an end,
+// when an upstream's address is none to which a connection can be opened.
+func TestDialToOddAddress(t *testing.T) {
+	for _, address := range []string{"", ":", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:-1", "127.0.0.1:65536", "127.0.0.1:99999999999999999999", "127.0.0.1:80\r\n", "[::1]:80", "::1:80"} {
+		t.Run(address, func(t *testing.T) {
+			var p leverpool.Pool
+			o := send(&p, leverpool.Target{Upstream: &leverdirectory.Upstream{ID: "u", Address: address}, MaxConnections: 1})
+			if !errors.Is(o.err, leverpool.ErrNotSent) {
+				t.Errorf("reply %+v, error %v, want %v", o.reply, o.err, leverpool.ErrNotSent)
+			}
+			waitClosed(&p)
+		})
+	}
+}
