internal/leverpool: a connection that the VM itself closes is no sign of a limit

Cause: Cancel closes the connection of its call: that of a hedge's loser, or of a caller who left. The read loop took the end of a connection that had carried no response for the upstream's connection limit, and lowered the limit to the connections in use less one for a second. All calls of that second queued behind these few connections, each for as long as an answer takes. Change: the read loop tells an end by this VM from one by the upstream.

--- a/internal/leverpool/conn.go
+++ b/internal/leverpool/conn.go
@@ -49,12 +49,15 @@
 	return &conn{Conn: raw, pool: p, host: h, r: bufio.NewReaderSize(s, readBufferSize), source: s, idleLimit: defaultIdleLimit}
 }
 
-func (c *conn) close() {
+// close closes the connection. It returns false if this VM has closed it before.
+func (c *conn) close() bool {
 	c.mu.Lock()
+	first := !c.closed
 	c.closed = true
 	c.mu.Unlock()
 	// Reads and writes in progress return an error.
 	_ = c.Conn.Close()
+	return first
 }
 
 // setPending makes x the exchange that awaits its response. async says that the
@@ -99,12 +102,12 @@
 	_, err := c.r.Peek(1)
 	if err != nil {
 		// From here on setPending returns false.
-		c.close()
+		closedByUpstream := c.close()
 		x := c.takePending()
 		if x == nil {
 			return false
 		}
-		if !c.responded {
+		if !c.responded && closedByUpstream {
 			c.pool.recordNewConnReset(c.host)
 			x.finish(nil, errors.Annotate(ErrNewConnReset, err.Error()))
 			return false
