internal/leverpool, leverengine: a call that waits is not bound to an upstream

Cause: a call that found no connection free waited in the queue of the upstream that had been picked by its estimated time. It stayed there while other upstreams of the service had room; when the limit or the VM's share grew, nobody woke it, and newcomers opened connections past it; it was sent to an upstream that drained or had left meanwhile; and a place that became free was taken even if the limit had been lowered. With answers of 900 ms a request waited for seconds, and those that waited at a SIGTERM outlasted the grace period. Change: calls wait by service, in the order in which they came (wait.go). Until it is sent, an attempt is placed anew by the engine (place.go) among the upstreams in force that have room, are not avoided and were not tried: it moves when its upstream drains, leaves or fails. Its waiting counts for the limiter, not against an upstream. No hedge is made for one that waits, and an extra attempt that was never sent is given back to the budget. A pool that is closed sends no waiting call. Calls through homes stay bound to their upstream. Ruled out: choosing by room in the engine before the send, as two requests can see the same room.

--- a/internal/leverbudget/budget.go
+++ b/internal/leverbudget/budget.go
@@ -111,6 +111,18 @@
 	return true
 }
 
+// Return takes back an extra attempt that was counted at the given time and was never
+// sent.
+func (b *Budget) Return(s leverid.ServiceID, taken, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w, _ := b.bucket(s, now)
+	n := int64(taken.Sub(b.start) / (b.Terms.Window / buckets))
+	if i := n % (buckets + 1); n >= 0 && n > w.last-(buckets+1) && w.extras[i] > 0 {
+		w.extras[i]--
+	}
+}
+
 // slack returns this VM's share of the slack. It grows linearly over the first
 // window of the process, because the previous process may have used it up.
 func (b *Budget) slack(now time.Time) float64 {
--- a/internal/leverbudget/budget_test.go
+++ b/internal/leverbudget/budget_test.go
@@ -103,3 +103,37 @@
 	b.SetShare(1)
 	is.True(!b.Take("s", leverbudget.Retry, time.Unix(1000, 0)))
 }
+
+// TestUnsentAttemptIsNoExtra takes all extra attempts, and returns one. Just one more
+// is allowed then, as long as the window holds the one that was returned.
+func TestUnsentAttemptIsNoExtra(t *testing.T) {
+	cases := map[string]struct {
+		after time.Duration
+		again int
+	}{
+		"at once":            {0, 1},
+		"in a later bucket":  {3 * time.Second, 1},
+		"out of the window":  {11 * time.Second, 8},
+		"twice that much on": {22 * time.Second, 8},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			start := time.Unix(1000, 0)
+			now := start.Add(time.Minute)
+			b := leverbudget.Budget{Terms: leverbudget.Terms{Slack: 10, Window: 10 * time.Second}}
+			b.SetStart(start)
+			b.SetShare(1)
+			count := func(now time.Time) (n int) {
+				for b.Take("s", leverbudget.Retry, now) {
+					n++
+				}
+				return n
+			}
+			is.Equal(count(now), 8)
+			later := now.Add(c.after)
+			b.Return("s", now, later)
+			is.Equal(count(later), c.again)
+		})
+	}
+}
--- a/internal/leverengine/attempt.go
+++ b/internal/leverengine/attempt.go
@@ -2,9 +2,9 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
-	"arbutuslever.dev/lever/internal/leverdirectory"
 	"arbutuslever.dev/lever/internal/leverhealth"
 	"arbutuslever.dev/lever/internal/leverpool"
 
@@ -13,11 +13,18 @@
 
 // attempt is one call to one upstream and its result.
 type attempt struct {
-	fanout   *fanout
-	part     int
-	upstream *leverdirectory.Upstream
-	started  time.Time
-	exchange Exchange
+	fanout *fanout
+	part   int
+	// candidates are the upstreams that it may be sent to.
+	candidates candidates
+	// extra is set if the attempt is charged to the budget.
+	extra bool
+	// placed is nil while the attempt waits for an upstream with room. At first it
+	// points to preferred.
+	placed    atomic.Pointer[placement]
+	preferred placement
+	started   time.Time
+	exchange  Exchange
 
 	// The following are set when the call has ended.
 
@@ -51,12 +58,13 @@
 func (a *attempt) send() {
 	f := a.fanout
 	e := f.engine
-	e.Health.Begin(a.upstream, a.started)
+	u := a.preferred.upstream
+	e.Health.Begin(u, a.preferred.at)
 	if f.call == nil {
 		f.call = leverpool.NewCall(f.req.Method, f.req.URI, f.req.Host, f.req.Header, f.req.Body)
 	}
 	t := leverpool.Target{
-		Upstream: a.upstream, Once: !f.route.Repeatable, MaxConnections: e.connectionLimit(a.upstream.Service),
+		Upstream: u, Placement: a, Once: !f.route.Repeatable, MaxConnections: a.MaxConnections(),
 		Request: f.req.ID, Rank: f.route.Rank, Floors: f.route.Floors, Deadline: f.deadline,
 	}
 	a.exchange = e.sender().Send(t, f.call, a.header, a.checkHead, a.done)
@@ -66,7 +74,7 @@
 // is sent, because they state the remaining time.
 func (a *attempt) header() http.Header {
 	f := a.fanout
-	return f.engine.Protocol.AttemptHeaders(f.deadline.Sub(f.engine.Timer.Now()), a.upstream)
+	return f.engine.Protocol.AttemptHeaders(f.deadline.Sub(f.engine.Timer.Now()), a.upstream())
 }
 
 // checkHead parses the head of a response and rejects one that belongs to
@@ -76,7 +84,7 @@
 	if a.meta.Request != a.fanout.req.ID {
 		return errors.Errorf("response belongs to request %q", a.meta.Request)
 	}
-	if s := a.meta.Service; s != "" && s != a.upstream.Service {
+	if s := a.meta.Service; s != "" && s != a.candidates.service {
 		return errors.Errorf("response comes from shard %q", s)
 	}
 	return nil
@@ -89,8 +97,14 @@
 	a.kind = a.classify()
 	f := a.fanout
 	now := f.engine.Timer.Now()
-	if status := f.engine.Health.End(a.upstream, f.class, a.started, a.kind, now); status != "" {
-		f.recordStatus(a, status)
+	if p := a.placed.Load(); p != nil {
+		if status := f.engine.Health.End(p.upstream, f.class, p.at, a.kind, now); status != "" {
+			f.recordStatus(a, status)
+		}
+	}
+	if a.extra && (a.kind == leverhealth.Withdrawn || a.kind == leverhealth.Refused) {
+		// An attempt that was never sent is no extra one.
+		f.engine.Budget.Return(a.candidates.service, a.started, now)
 	}
 	a.slow = f.isSlow(now.Sub(a.started))
 	if f.sub == nil && (a.kind == leverhealth.Good || a.kind == leverhealth.Canceled) {
--- a/internal/leverengine/choose.go
+++ b/internal/leverengine/choose.go
@@ -1,7 +1,6 @@
 package leverengine
 
 import (
-	"slices"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverdirectory"
@@ -11,15 +10,31 @@
 // domain, because traffic between domains is billed and has a longer round trip.
 const remoteDomainFactor = 1.6
 
-// pickUpstream returns the upstream with the shortest estimated response time,
-// and that estimate. An upstream that has already been tried for the part is
-// picked only if there is no other and the part has no attempt in flight.
+// candidates returns the candidates for the next attempt at a part.
+func (p *part) candidates() candidates {
+	return candidates{service: p.service, earlier: p.attempts, inFlight: p.inFlight > 0}
+}
+
+// pickUpstream returns the candidate with the shortest estimated response time, and
+// that estimate.
 func (f *fanout) pickUpstream(p *part, now time.Time) (*leverdirectory.Upstream, time.Duration) {
+	c := p.candidates()
+	return f.pick(&c, now, func(*leverdirectory.Upstream) bool { return true })
+}
+
+// pick returns the accepted candidate with the shortest estimated response time, and
+// that estimate.
+func (f *fanout) pick(c *candidates, now time.Time, accept func(*leverdirectory.Upstream) bool) (*leverdirectory.Upstream, time.Duration) {
 	var best *leverdirectory.Upstream
 	var bestTime time.Duration
 	for _, alreadyTried := range []bool{false, true} {
-		for _, u := range f.engine.Directory.View().Upstreams(p.service) {
-			if slices.ContainsFunc(p.tried, func(t *leverdirectory.Upstream) bool { return t.Key() == u.Key() }) != alreadyTried {
+		found := false
+		for _, u := range f.engine.Directory.View().Upstreams(c.service) {
+			if c.tried(u) != alreadyTried {
+				continue
+			}
+			found = true
+			if !accept(u) {
 				continue
 			}
 			expected := f.engine.Health.Estimate(u, f.class, now)
@@ -30,7 +45,7 @@
 				best, bestTime = u, expected
 			}
 		}
-		if best != nil || p.inFlight > 0 {
+		if found || c.inFlight {
 			break
 		}
 	}
--- a/internal/leverengine/crash.go
+++ b/internal/leverengine/crash.go
@@ -94,10 +94,10 @@
 		// upstream is at its connection limit.
 	case errors.Is(a.err, leverpool.ErrReset), errors.Is(a.err, leverpool.ErrNewConnReset):
 		level, changed := e.Crashes.Reset(levercrash.Reset{
-			Fingerprint: f.fingerprint, Service: f.parts[a.part].service, Upstream: a.upstream.ID, Shard: shard, Trial: f.trial,
+			Fingerprint: f.fingerprint, Service: f.parts[a.part].service, Upstream: a.upstream().ID, Shard: shard, Trial: f.trial,
 		}, now)
 		if changed {
-			e.Log.Warn("content is believed to crash upstreams", "id", f.req.ID, "fingerprint", f.fingerprint, "barred", level == levercrash.Barred, "upstream", a.upstream.ID)
+			e.Log.Warn("content is believed to crash upstreams", "id", f.req.ID, "fingerprint", f.fingerprint, "barred", level == levercrash.Barred, "upstream", a.upstream().ID)
 			f.publishCrashLevel(now)
 		}
 	}
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -271,7 +271,7 @@
 func (f *fanout) startAttempt(i int, extra bool) {
 	p := &f.parts[i]
 	now := f.engine.Timer.Now()
-	if len(p.tried) >= f.maxSends() {
+	if len(p.attempts) >= f.maxSends() {
 		p.exhausted = p.inFlight == 0
 		return
 	}
@@ -291,18 +291,21 @@
 		p.exhausted = p.inFlight == 0
 		return
 	}
-	a := f.send(i, u, now)
+	a := f.send(i, u, extra, now)
 	if extra {
 		f.retried++
 		f.recordExtra("retry", a, f.reason)
 	}
 }
 
-func (f *fanout) send(i int, u *leverdirectory.Upstream, now time.Time) *attempt {
+// send starts an attempt that prefers an upstream. extra says that the budget was
+// charged for it.
+func (f *fanout) send(i int, u *leverdirectory.Upstream, extra bool, now time.Time) *attempt {
 	p := &f.parts[i]
-	a := &attempt{fanout: f, part: i, upstream: u, started: now}
+	a := &attempt{fanout: f, part: i, candidates: p.candidates(), extra: extra, started: now, preferred: placement{u, now}}
+	a.placed.Store(&a.preferred)
 	f.attempts = append(f.attempts, a)
-	p.tried = append(p.tried, u)
+	p.attempts = append(p.attempts, a)
 	p.inFlight++
 	p.possibleRuns++
 	a.send()
@@ -351,7 +354,7 @@
 	if a.kind == leverhealth.Failed && !a.meta.StatusImpliesNotRun {
 		f.failure = a.reply
 	}
-	f.reason = resultNames[a.kind] + " by " + string(a.upstream.ID)
+	f.reason = resultNames[a.kind] + " by " + string(a.upstream().ID)
 	f.handleFailure(a, p)
 	f.resumeNextHeld()
 }
--- a/internal/leverengine/hedge.go
+++ b/internal/leverengine/hedge.go
@@ -26,7 +26,7 @@
 }
 
 // hedge starts a second attempt for each part that has exactly one attempt in
-// flight, if another upstream is usable and the budget allows it. It does not
+// flight, which has been sent, if another upstream is usable and the budget allows it. It does not
 // check how long the first attempt has been in flight.
 func (f *fanout) hedge(now time.Time) {
 	f.hedgeAt = f.hedgeAt.Add(f.engine.Health.SlowAfter(f.class))
@@ -35,7 +35,7 @@
 	}
 	for i := range f.parts {
 		p := &f.parts[i]
-		if p.settled() || p.inFlight != 1 || p.possibleRuns >= f.maxRuns() || len(p.tried) >= f.maxSends() {
+		if p.settled() || p.inFlight != 1 || p.possibleRuns >= f.maxRuns() || len(p.attempts) >= f.maxSends() || p.waiting() {
 			continue
 		}
 		if !f.confirmed() {
@@ -51,6 +51,6 @@
 			continue
 		}
 		f.hedged++
-		f.recordExtra("hedge", f.send(i, u, now), "slow at "+string(p.tried[len(p.tried)-2].ID))
+		f.recordExtra("hedge", f.send(i, u, true, now), "slow at "+string(p.attempts[len(p.attempts)-2].upstream().ID))
 	}
 }
--- a/internal/leverengine/part.go
+++ b/internal/leverengine/part.go
@@ -1,9 +1,9 @@
 package leverengine
 
 import (
+	"slices"
 	"time"
 
-	"arbutuslever.dev/lever/internal/leverdirectory"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leverpool"
 )
@@ -22,7 +22,7 @@
 	exhausted bool
 	signature string
 	reply     *leverpool.Reply
-	tried     []*leverdirectory.Upstream
+	attempts  []*attempt
 	inFlight  int
 	// possibleRuns counts the attempts that have run or may still run,
 	// possibleArrivals the ended ones that may have reached an upstream, and
@@ -50,4 +50,7 @@
 // that did not run.
 func (f *fanout) maxSends() int { return max(f.route.MaxAttempts, 1) + additionalSends }
 
+// waiting reports whether an attempt of the part waits for an upstream with room.
+func (p *part) waiting() bool { return slices.ContainsFunc(p.attempts, (*attempt).waiting) }
+
 func (p *part) settled() bool { return p.done || p.exhausted && !p.awaited }
--- /dev/null
+++ b/internal/leverengine/place.go
@@ -0,0 +1,86 @@
+package leverengine
+
+import (
+	"slices"
+	"time"
+
+	"arbutuslever.dev/lever/internal/leverdirectory"
+	"arbutuslever.dev/lever/internal/leverid"
+)
+
+// candidates describes the upstreams that an attempt may be sent to: those of the
+// service that earlier attempts have not tried. If there are none, those that were
+// tried, unless one of the earlier attempts is still in flight.
+type candidates struct {
+	service  leverid.ServiceID
+	earlier  []*attempt
+	inFlight bool
+}
+
+// tried reports whether an earlier attempt was placed at an upstream.
+func (c *candidates) tried(u *leverdirectory.Upstream) bool {
+	return slices.ContainsFunc(c.earlier, func(a *attempt) bool { return a.upstream().Key() == u.Key() })
+}
+
+// placement is the upstream of an attempt, and since when.
+type placement struct {
+	upstream *leverdirectory.Upstream
+	at       time.Time
+}
+
+// unplaced stands for the upstream of an attempt that waits.
+var unplaced = &leverdirectory.Upstream{}
+
+// upstream returns the upstream of the attempt, or unplaced.
+func (a *attempt) upstream() *leverdirectory.Upstream {
+	if p := a.placed.Load(); p != nil {
+		return p.upstream
+	}
+	return unplaced
+}
+
+func (a *attempt) waiting() bool { return a.placed.Load() == nil }
+
+// Place records where the attempt is sent next, or that it waits if u is nil. Time
+// that it waits is not held against any upstream.
+func (a *attempt) Place(u *leverdirectory.Upstream) {
+	e := a.fanout.engine
+	if p := a.placed.Load(); p != nil {
+		if p.upstream == u {
+			return
+		}
+		e.Health.Withdraw(p.upstream, p.at)
+	}
+	if u == nil {
+		a.placed.Store(nil)
+		return
+	}
+	now := e.Timer.Now()
+	e.Health.Begin(u, now)
+	a.placed.Store(&placement{u, now})
+}
+
+// MaxConnections returns the connection limit of each candidate.
+func (a *attempt) MaxConnections() int { return a.fanout.engine.connectionLimit(a.candidates.service) }
+
+// Choose returns the best candidate that has room. Those that are avoided are left
+// out as long as there are others.
+func (a *attempt) Choose(hasRoom func(*leverdirectory.Upstream) bool) *leverdirectory.Upstream {
+	f := a.fanout
+	if !slices.ContainsFunc(f.engine.Directory.View().Upstreams(a.candidates.service), hasRoom) {
+		return nil
+	}
+	now := f.engine.Timer.Now()
+	sound := false
+	u, _ := f.pick(&a.candidates, now, func(u *leverdirectory.Upstream) bool {
+		if f.engine.Health.Avoided(u, f.class, now) {
+			return false
+		}
+		sound = true
+		return hasRoom(u)
+	})
+	if u == nil && !sound {
+		u, _ = f.pick(&a.candidates, now, hasRoom)
+	}
+	return u
+}
--- a/internal/leverengine/record.go
+++ b/internal/leverengine/record.go
@@ -30,14 +30,14 @@
 		return
 	}
 	f.engine.Log.Info("an attempt failed", "id", f.req.ID, "route", f.route.Name, "part", a.part,
-		"service", f.parts[a.part].service, "upstream", a.upstream.ID, "address", a.upstream.Address, "result", name,
+		"service", f.parts[a.part].service, "upstream", a.upstream().ID, "address", a.upstream().Address, "result", name,
 		"began", a.started.Sub(f.startTime).Round(logPrecision), "took", took.Round(logPrecision), "err", a.err)
 }
 
 // recordStatus logs and counts a change of an upstream's health status.
 func (f *fanout) recordStatus(a *attempt, status leverhealth.Status) {
 	f.engine.Metrics.Add(levermetric.Name("upstream-beliefs", "belief", string(status)), 1)
-	f.engine.Log.Info("an upstream is believed anew", "upstream", a.upstream.ID, "service", a.upstream.Service, "address", a.upstream.Address,
+	f.engine.Log.Info("an upstream is believed anew", "upstream", a.upstream().ID, "service", a.upstream().Service, "address", a.upstream().Address,
 		"belief", status, "after", resultNames[a.kind], "id", f.req.ID)
 	if f.engine.Events == nil {
 		return
@@ -46,13 +46,13 @@
 	if status == leverhealth.Healthy {
 		kind = leverevent.UpstreamUp
 	}
-	f.engine.Events.Add(kind, string(a.upstream.ID), string(status))
+	f.engine.Events.Add(kind, string(a.upstream().ID), string(status))
 }
 
 // recordExtra logs and counts a hedge or a retry.
 func (f *fanout) recordExtra(use string, a *attempt, reason string) {
 	f.engine.Metrics.Add(levermetric.Name("extra-attempts", "use", use), 1)
-	f.engine.Log.Info("an extra attempt is made", "id", f.req.ID, "use", use, "part", a.part, "upstream", a.upstream.ID,
+	f.engine.Log.Info("an extra attempt is made", "id", f.req.ID, "use", use, "part", a.part, "upstream", a.upstream().ID,
 		"at", a.started.Sub(f.startTime).Round(logPrecision), "why", reason)
 }
 
@@ -72,7 +72,7 @@
 	shown := 0
 	for i := range f.parts {
 		p := &f.parts[i]
-		if p.done || len(p.tried) == 0 {
+		if p.done || len(p.attempts) == 0 {
 			continue
 		}
 		if shown++; shown > maxPartsLogged {
@@ -82,7 +82,7 @@
 		if b.Len() > 0 {
 			b.WriteString(", ")
 		}
-		fmt.Fprintf(&b, "%s tried %d, last at %s", p.service, len(p.tried), p.tried[len(p.tried)-1].ID)
+		fmt.Fprintf(&b, "%s tried %d, last at %s", p.service, len(p.attempts), p.attempts[len(p.attempts)-1].upstream().ID)
 	}
 	return b.String()
 }
--- a/internal/leverhealth/tracker.go
+++ b/internal/leverhealth/tracker.go
@@ -172,6 +172,25 @@
 	s.inFlight = append(s.inFlight, now)
 }
 
+// Withdraw records that the call that began at start is not sent to the upstream.
+func (t *Tracker) Withdraw(u *leverdirectory.Upstream, start time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.states[u.Key()]; s != nil {
+		s.endCall(start)
+	}
+}
+
+// endCall removes one call from those in flight.
+func (s *state) endCall(start time.Time) {
+	for i, at := range s.inFlight {
+		if at.Equal(start) {
+			s.inFlight = append(s.inFlight[:i:i], s.inFlight[i+1:]...)
+			return
+		}
+	}
+}
+
 // End records the result of the call that began at start. It returns the
 // upstream's new status if that has changed, otherwise "".
 func (t *Tracker) End(u *leverdirectory.Upstream, c Class, start time.Time, r Result, now time.Time) Status {
@@ -221,12 +240,7 @@
 }
 
 func (t *Tracker) record(s *state, c Class, start time.Time, r Result, now time.Time) {
-	for i, at := range s.inFlight {
-		if at.Equal(start) {
-			s.inFlight = append(s.inFlight[:i:i], s.inFlight[i+1:]...)
-			break
-		}
-	}
+	s.endCall(start)
 	switch r {
 	case Absent:
 		s.lastResponse = now
@@ -331,6 +345,15 @@
 	return d
 }
 
+// Avoided reports whether the upstream is unreachable or unresponsive, so that it is
+// used only if there is no other.
+func (t *Tracker) Avoided(u *leverdirectory.Upstream, c Class, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(u, now)
+	return now.Before(s.avoidUntil) || s.unresponsive(t.slowAfter(c), now)
+}
+
 // Usable reports whether an estimated time is free of the penalties for
 // unresponsive and unreachable upstreams.
 func Usable(d time.Duration) bool { return d < unresponsivePenalty }
--- a/internal/leverhome/sender.go
+++ b/internal/leverhome/sender.go
@@ -70,7 +70,7 @@
 
 // enqueue adds a call to the upstream's queue on this VM.
 func (s *Sender) enqueue(t leverpool.Target, call *leverpool.Call, header func() http.Header, checkHead func(*http.Response) error, done func(*leverpool.Reply, error)) leverengine.Exchange {
-	t.MaxConnections = s.Connections(t.Upstream.Service)
+	t.MaxConnections, t.Placement = s.Connections(t.Upstream.Service), nil
 	j := &job{queue: s.queue(t.Upstream.Key()), target: t, call: call, header: header, checkHead: checkHead, done: done}
 	j.queue.add(j, s.Timer.Now())
 	return j
--- a/internal/leverpool/conn.go
+++ b/internal/leverpool/conn.go
@@ -25,9 +25,11 @@
 	// r reads from source. Only the read loop uses them.
 	r      *bufio.Reader
 	source *source
-	// idleSince and idleLimit are guarded by the pool's mutex.
+	// idleSince, idleLimit and retired are guarded by the pool's mutex. retired says
+	// that the connection no longer counts as open.
 	idleSince time.Time
 	idleLimit time.Duration
+	retired   bool
 
 	// responded says that the connection has carried a response. Only the read
 	// loop uses it.
--- a/internal/leverpool/exchange.go
+++ b/internal/leverpool/exchange.go
@@ -17,7 +17,10 @@
 
 // Target is the upstream to call and how to call it.
 type Target struct {
-	Upstream *leverdirectory.Upstream
+	// Upstream is the upstream to call. With a Placement, it is the preferred one:
+	// the call goes to another one instead of waiting.
+	Upstream  *leverdirectory.Upstream
+	Placement Placement
 	// MaxConnections is this VM's share of the upstream's connections.
 	MaxConnections int
 	// Once marks a request that must not run twice.
@@ -107,12 +110,8 @@
 }
 
 func (x *Exchange) acquire() {
-	c, dial := x.pool.acquire(x)
-	if c != nil {
-		x.send(c)
-	}
-	if dial {
-		go x.runDial()
+	if g, ok := x.pool.acquire(x); ok {
+		g.use()
 	}
 }
 
@@ -120,7 +119,7 @@
 // the request.
 func (x *Exchange) Cancel() {
 	if x.abort() && x.pool.removeWaiter(x) {
-		x.finish(nil, errors.Annotate(ErrWithdrawn, "all connections are in use"))
+		x.finish(nil, errWithdrawn())
 	}
 }
 
@@ -136,7 +135,7 @@
 	x.canceled = true
 	x.mu.Unlock()
 	if x.pool.removeWaiter(x) {
-		x.finish(nil, errors.Annotate(ErrWithdrawn, "all connections are in use"))
+		x.finish(nil, errWithdrawn())
 	}
 	return true
 }
@@ -169,8 +168,11 @@
 	defer cancel()
 	raw, err := x.pool.dial(ctx, x.target.Upstream.Address)
 	if err != nil {
-		x.pool.discard(x.host, nil, true)
+		// The caller learns of the failure first, so that its other calls don't get the
+		// place.
+		h := x.host
 		x.finish(nil, errors.Annotate(ErrNotSent, err.Error()))
+		x.pool.discard(h, nil, true)
 		return
 	}
 	c := newConn(x.pool, x.host, raw)
--- a/internal/leverpool/pool.go
+++ b/internal/leverpool/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverdirectory"
+	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/levertcp"
 
 	"github.com/juju/errors"
@@ -77,7 +78,11 @@
 
 	mu    sync.Mutex
 	hosts map[leverdirectory.Key]*host
-	stats Stats
+	// waiting holds the calls that wait for a connection, in the order in which they
+	// came. offering says that runOffers runs, closed that they are not sent any more.
+	waiting          map[leverid.ServiceID][]*Exchange
+	offering, closed bool
+	stats            Stats
 }
 
 // Stats counts the activity of a pool since the start.
@@ -99,7 +104,9 @@
 	s := p.stats
 	for _, h := range p.hosts {
 		s.Open += int64(h.open)
-		s.Waiting += int64(len(h.waiters))
+	}
+	for _, list := range p.waiting {
+		s.Waiting += int64(len(list))
 	}
 	return s
 }
@@ -107,9 +114,9 @@
 // host holds the connections to one instance of an upstream. The pool's mutex
 // guards it.
 type host struct {
+	service leverid.ServiceID
 	idle    []*conn
 	open    int
-	waiters []*Exchange
 	removed bool
 	// maxOpen bounds the connections until maxOpenUntil: the upstream has
 	// closed a new one without a response, as it is at its connection limit.
@@ -129,7 +136,7 @@
 }
 
 // Retain closes the idle connections to upstreams for which known returns
-// false.
+// false, and offers the room of the others to the calls that wait.
 func (p *Pool) Retain(known func(leverdirectory.Key) bool) {
 	p.mu.Lock()
 	var closing []*conn
@@ -143,48 +150,31 @@
 		// Calls in flight keep their own reference to the host.
 		delete(p.hosts, k)
 	}
+	grants := p.offerAll()
 	p.mu.Unlock()
+	useAll(grants)
 	for _, c := range closing {
 		c.close()
 	}
 }
 
 // Close closes the idle connections. Connections in use are closed when their
-// calls end.
-func (p *Pool) Close() { p.Retain(func(leverdirectory.Key) bool { return false }) }
-
-// acquire returns an idle connection for x. If there is none, it reserves a
-// slot for a new connection and sets dial, or adds x to the waiters.
-func (p *Pool) acquire(x *Exchange) (c *conn, dial bool) {
+// calls end. Calls that wait are not sent any more.
+func (p *Pool) Close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	h := p.host(x.target.Upstream.Key())
-	x.host = h
-	if c := p.takeIdle(h, x.target.Once); c != nil {
-		return c, false
-	}
-	if h.open < h.limit(x.target.MaxConnections, time.Now()) {
-		h.open++
-		return nil, true
-	}
-	h.waiters = append(h.waiters, x)
-	if len(h.idle) > 0 {
-		// The idle connections are too old for a request that must not run
-		// twice. Closing the oldest one frees its slot for x.
-		oldest := h.idle[0]
-		h.idle = h.idle[1:]
-		oldest.close()
-	}
-	return nil, false
+	p.closed = true
+	p.mu.Unlock()
+	p.Retain(func(leverdirectory.Key) bool { return false })
 }
 
-func (p *Pool) host(k leverdirectory.Key) *host {
+func (p *Pool) host(u *leverdirectory.Upstream) *host {
+	k := u.Key()
 	if p.hosts == nil {
 		p.hosts = make(map[leverdirectory.Key]*host)
 	}
 	h := p.hosts[k]
 	if h == nil {
-		h = &host{}
+		h = &host{service: u.Service}
 		p.hosts[k] = h
 	}
 	return h
@@ -192,8 +182,7 @@
 
 // takeIdle returns the most recently used idle connection, or nil if it has
 // been idle for too long. It closes those that are past their idle limit.
-func (p *Pool) takeIdle(h *host, once bool) *conn {
-	now := time.Now()
+func (p *Pool) takeIdle(h *host, once bool, now time.Time) *conn {
 	for len(h.idle) > 0 {
 		c := h.idle[len(h.idle)-1]
 		limit := c.idleLimit
@@ -209,14 +198,20 @@
 			return nil
 		}
 		h.idle = h.idle[:len(h.idle)-1]
-		// Its read loop ends and frees the slot.
-		c.close()
+		retire(c)
 	}
 	return nil
 }
 
-// release passes a connection that is free again to the first waiter, or adds
-// it to the idle ones.
+// retire closes a connection that was idle. It no longer counts as open.
+func retire(c *conn) {
+	c.retired = true
+	c.host.open--
+	c.close()
+}
+
+// release adds a connection that is free again to the idle ones, or passes it to a
+// call that waits.
 func (p *Pool) release(c *conn) {
 	p.mu.Lock()
 	h := c.host
@@ -225,15 +220,11 @@
 		c.close()
 		return
 	}
-	next := h.popWaiter()
-	if next == nil {
-		c.idleSince = time.Now()
-		h.idle = append(h.idle, c)
-	}
+	c.idleSince = time.Now()
+	h.idle = append(h.idle, c)
+	grants := p.offerHost(h)
 	p.mu.Unlock()
-	if next != nil {
-		next.send(c)
-	}
+	useAll(grants)
 }
 
 // recordNewConnReset records that an upstream closed a connection that had
@@ -246,8 +237,8 @@
 	h.maxOpenUntil = time.Now().Add(maxOpenTTL)
 }
 
-// discard records that a connection has closed, or could not be made. Its slot
-// goes to the first waiter.
+// discard records that a connection has closed, or could not be made. Its place may
+// go to a call that waits.
 func (p *Pool) discard(h *host, c *conn, failed bool) {
 	p.mu.Lock()
 	if failed {
@@ -259,37 +250,12 @@
 			break
 		}
 	}
-	next := h.popWaiter()
-	if next == nil {
+	if c == nil || !c.retired {
 		h.open--
 	}
+	grants := p.offerHost(h)
 	p.mu.Unlock()
-	if next != nil {
-		go next.runDial()
-	}
-}
-
-func (h *host) popWaiter() *Exchange {
-	if len(h.waiters) == 0 {
-		return nil
-	}
-	next := h.waiters[0]
-	h.waiters = h.waiters[1:]
-	return next
-}
-
-// removeWaiter removes x from the waiters. It returns false if x is not waiting
-// any more.
-func (p *Pool) removeWaiter(x *Exchange) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for i, w := range x.host.waiters {
-		if w == x {
-			x.host.waiters = append(x.host.waiters[:i:i], x.host.waiters[i+1:]...)
-			return true
-		}
-	}
-	return false
+	useAll(grants)
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/leverpool/wait_test.go
+++ b/internal/leverpool/wait_test.go
@@ -115,3 +115,67 @@
 		is.Equal(p.Stats().NewConnResets, int64(0))
 	})
 }
+
+// TestWaitingCallsAreSentWhenTheLimitGrows has an upstream reset a new connection,
+// which lowers the limit for a second. The calls that wait meanwhile must be sent
+// when the second is over, though no call has ended.
+func TestWaitingCallsAreSentWhenTheLimitGrows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newHoldingPool(&holdingServer{hold: 10 * time.Second, resets: 1})
+		defer p.stop()
+		p.start(4)
+		is.True(errors.Is(<-p.results, leverpool.ErrNewConnReset))
+		for range 4 {
+			p.start(4)
+		}
+		synctest.Wait()
+		is.Equal(p.server.arrived(), 1) // the limit is 1
+		time.Sleep(1100 * time.Millisecond)
+		is.Equal(p.server.arrived(), 4)
+	})
+}
+
+// TestWaitingCallsKeepTheLoweredLimit lowers the limit of an upstream while calls
+// wait. Connections that close must not be replaced beyond it.
+func TestWaitingCallsKeepTheLoweredLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newHoldingPool(&holdingServer{hold: 300 * time.Millisecond})
+		defer p.stop()
+		var sent []*leverpool.Exchange
+		for range 8 {
+			sent = append(sent, p.start(4))
+		}
+		synctest.Wait()
+		is.Equal(p.server.arrived(), 4)
+		p.server.mu.Lock()
+		p.server.resets = 1
+		p.server.mu.Unlock()
+		sent[0].Cancel()
+		synctest.Wait()
+		// The call that took the place of the first one was reset, which leaves three
+		// connections in use and a limit of three.
+		is.True(errors.Is(<-p.results, leverpool.ErrCanceled))
+		is.True(errors.Is(<-p.results, leverpool.ErrNewConnReset))
+		is.Equal(p.Stats().Open, int64(3))
+	})
+}
+
+// TestNoWaitingCallIsSentAfterClose closes the pool, as a VM does that ends, while
+// calls wait.
+func TestNoWaitingCallIsSentAfterClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newHoldingPool(&holdingServer{hold: 300 * time.Millisecond})
+		defer p.stop()
+		for range 3 {
+			p.start(1)
+		}
+		synctest.Wait()
+		p.Close()
+		is.NoErr(<-p.results)
+		time.Sleep(time.Minute)
+		is.Equal(p.server.arrived(), 1)
+	})
+}
