internal/leverengine, docs: the line of a request's end tells how long it waited

The line now has `waited`, the longest wait of an attempt for an upstream with room, and an attempt that waits shows the upstream "none".

--- a/internal/leverengine/place.go
+++ b/internal/leverengine/place.go
@@ -28,8 +28,8 @@
 	at       time.Time
 }
 
-// unplaced stands for the upstream of an attempt that waits.
-var unplaced = &leverdirectory.Upstream{}
+// unplaced stands for the upstream of an attempt that waits. Logs show its ID.
+var unplaced = &leverdirectory.Upstream{ID: "none"}
 
 // upstream returns the upstream of the attempt, or unplaced.
 func (a *attempt) upstream() *leverdirectory.Upstream {
@@ -41,6 +41,14 @@
 
 func (a *attempt) waiting() bool { return a.placed.Load() == nil }
 
+// waited returns how long the attempt has waited for an upstream with room.
+func (a *attempt) waited(now time.Time) time.Duration {
+	if p := a.placed.Load(); p != nil {
+		return p.at.Sub(a.started)
+	}
+	return now.Sub(a.started)
+}
+
 // Place records where the attempt is sent next, or that it waits if u is nil. Time
 // that it waits is not held against any upstream.
 func (a *attempt) Place(u *leverdirectory.Upstream) {
--- a/internal/leverengine/record.go
+++ b/internal/leverengine/record.go
@@ -91,7 +91,8 @@
 // answered completely within the objective and without hedges or retries.
 func (f *fanout) recordEnd(out *Outcome) {
 	e := f.engine
-	took := e.Timer.Now().Sub(f.startTime)
+	now := e.Timer.Now()
+	took := now.Sub(f.startTime)
 	rank := f.route.Rank.String()
 	e.Metrics.Add(levermetric.Name("requests", "verdict", out.Verdict.String(), "rank", rank), 1)
 	e.Metrics.Observe(levermetric.Name("request-time", "rank", rank, "verdict", out.Verdict.String()), took)
@@ -101,9 +102,13 @@
 	if (out.Verdict == Passed || out.Verdict == Merged && out.Missing == 0) && f.hedged+f.retried == 0 && took < f.route.Objective {
 		return
 	}
+	waited := time.Duration(0)
+	for _, a := range f.attempts {
+		waited = max(waited, a.waited(now))
+	}
 	e.Log.Info("a request ended", "id", f.req.ID, "route", f.route.Name, "rank", rank, "verdict", out.Verdict,
 		"config", f.version, "parts", len(f.parts), "missing", out.Missing, "hedged", f.hedged, "retried", f.retried,
-		"took", took.Round(logPrecision), "objective", f.route.Objective, "open", f.openParts(), "age-at-begin", f.startTime.Sub(f.req.Received).Round(logPrecision), "reason", out.Reason)
+		"took", took.Round(logPrecision), "waited", waited.Round(logPrecision), "objective", f.route.Objective, "open", f.openParts(), "age-at-begin", f.startTime.Sub(f.req.Received).Round(logPrecision), "reason", out.Reason)
 }
 
 // recordTakeOver logs and counts a branch whose open parts run here, too. taken is
