internal/leverpool: room is offered after the end of the call that leaves it

Cause: a connection was offered to the waiting calls before the engine knew that the call had ended well. An upstream that had not answered before still counted as unresponsive then, so that the waiting call declined and took the place at the next interval only. Intervals of 20 ms hid that from the tests. Change: the connection is parked, then the call ends, then the room is offered. The interval is 50 ms; it is needed for limits that grow and upstreams that recover.

--- a/internal/leverpool/conn.go
+++ b/internal/leverpool/conn.go
@@ -132,8 +132,10 @@
 	c.takePending()
 	// From here on Cancel does not close the connection.
 	x.markEnded()
-	c.pool.release(c)
+	c.pool.park(c)
 	x.done(reply, nil)
+	// A waiting call chooses with what done has told of the upstream.
+	c.pool.offer(c.host)
 	return true
 }
 
--- a/internal/leverpool/pool.go
+++ b/internal/leverpool/pool.go
@@ -210,9 +210,15 @@
 	c.close()
 }
 
-// release adds a connection that is free again to the idle ones, or passes it to a
-// call that waits.
+// release passes a connection that was not used to a call that waits, or adds it to
+// the idle ones.
 func (p *Pool) release(c *conn) {
+	p.park(c)
+	p.offer(c.host)
+}
+
+// park adds a connection to the idle ones. The caller calls offer next.
+func (p *Pool) park(c *conn) {
 	p.mu.Lock()
 	h := c.host
 	if h.removed {
@@ -222,9 +228,7 @@
 	}
 	c.idleSince = time.Now()
 	h.idle = append(h.idle, c)
-	grants := p.offerHost(h)
 	p.mu.Unlock()
-	useAll(grants)
 }
 
 // recordNewConnReset records that an upstream closed a connection that had
@@ -253,9 +257,8 @@
 	if c == nil || !c.retired {
 		h.open--
 	}
-	grants := p.offerHost(h)
 	p.mu.Unlock()
-	useAll(grants)
+	p.offer(h)
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/leverpool/wait.go
+++ b/internal/leverpool/wait.go
@@ -26,7 +26,7 @@
 // offerInterval is the interval at which room is offered to waiting calls. It
 // covers room that appears without the end of a call: limits grow, and upstreams
 // come and recover.
-const offerInterval = 20 * time.Millisecond
+const offerInterval = 50 * time.Millisecond
 
 // grant lets a call be sent on a connection that is idle, or on a new one if conn
 // is nil.
@@ -139,9 +139,13 @@
 	p.waiting[s] = list
 }
 
-// offerHost grants the room of one connection that a call has left at a host to the
-// first waiting call that may use it.
+// offer lets the first waiting call that may use it have the room of one connection
+// that a call has left at a host.
+func (p *Pool) offer(h *host) { useAll(p.offerHost(h)) }
+
 func (p *Pool) offerHost(h *host) []grant {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.closed {
 		return nil
 	}
