--- a/internal/leverpool/conn.go
+++ b/internal/leverpool/conn.go
@@ -24,9 +24,11 @@
 	// r reads from source. Only the read loop uses them.
 	r      *bufio.Reader
 	source *source
-	// idleSince and idleLimit are guarded by the pool's mutex.
+	// idleSince, idleLimit and retired are guarded by the pool's mutex. retired says
+	// that the connection no longer counts as open.
 	idleSince time.Time
 	idleLimit time.Duration
+	retired   bool
 
 	// responded says that the connection has carried a response. Only the read
 	// loop uses it.
@@ -48,12 +50,15 @@
 	return &conn{Conn: raw, pool: p, host: h, r: bufio.NewReaderSize(s, readBufferSize), source: s, idleLimit: defaultIdleLimit}
 }
 
-func (c *conn) close() {
+// close closes the connection. It returns false if this VM has closed it before.
+func (c *conn) close() bool {
 	c.mu.Lock()
+	first := !c.closed
 	c.closed = true
 	c.mu.Unlock()
 	// Reads and writes in progress return an error.
 	_ = c.Conn.Close()
+	return first
 }
 
 // setPending makes x the exchange that awaits its response. async says that the
@@ -98,12 +103,12 @@
 	_, err := c.r.Peek(1)
 	if err != nil {
 		// From here on setPending returns false.
-		c.close()
+		closedByUpstream := c.close()
 		x := c.takePending()
 		if x == nil {
 			return false
 		}
-		if !c.responded {
+		if !c.responded && closedByUpstream {
 			c.pool.recordNewConnReset(c.host)
 			x.finish(nil, errors.Annotate(ErrNewConnReset, err.Error()))
 			return false
@@ -126,8 +131,10 @@
 	c.takePending()
 	// From here on Cancel does not close the connection.
 	x.markEnded()
-	c.pool.release(c)
+	c.pool.park(c)
 	x.done(reply, nil)
+	// A waiting call chooses with what done has told of the upstream.
+	c.pool.offer(c.host)
 	return true
 }
 
