--- a/cmd/leversoak/caller.go
+++ b/cmd/leversoak/caller.go
@@ -53,10 +53,18 @@
 		_ = c.connection.Open()
 		time.Sleep(c.pause())
 		k := requestKinds[i%len(requestKinds)]
+		if k.timeout == standin.SlowTimeout {
+			c.vm.slow.Add(1)
+		}
 		id := fmt.Sprintf("s%d-%06d", c.soak.seed, c.soak.nextID.Add(1))
 		x := c.connection.Send(k.method, id, k.path+id, k.timeout)
+		if k.timeout == standin.SlowTimeout {
+			c.vm.slow.Add(-1)
+		}
 		x.MayBeLate = c.soak.options.RulesOnly || c.vm.pausedSince(x.Sent)
-		x.MustEnd = c.soak.options.Planned
+		x.MustEnd = c.soak.options.Planned || c.soak.options.Stops
+		x.Stopped, x.Grace = c.vm.stoppedBefore(x.Sent.Add(x.Took))
+		x.FaultyUpstreams = c.soak.options.Stops
 		c.soak.sim.Checker.Record(x)
 	}
 }
--- a/cmd/leversoak/fault.go
+++ b/cmd/leversoak/fault.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -86,8 +87,24 @@
 	"settings":          func(s *soak, f fault) { s.rewriteSettings(s.vm(f)) },
 }
 
+// stopInjectors are the further ones for --planned and --stops. They are kept apart
+// so that the faults of the other seeds stay as they are.
+var stopInjectors = map[string]func(s *soak, f fault){
+	"terminate-busy": (*soak).terminateBusy,
+	"terminate-wave": (*soak).terminateWave,
+	"upstream-slow":  upstreamFault(standin.Faults{Slowdown: slowdown}),
+	"upstreams-slow": (*soak).slowUpstreams,
+}
+
 // plannedKinds are the kinds that are planned work, sorted.
-var plannedKinds = []string{"config", "config-storm", "hangup-series", "terminate", "terminate-roll", "upstream-drains"}
+var plannedKinds = []string{"config", "config-storm", "hangup-series", "terminate", "terminate-busy", "terminate-roll", "terminate-wave", "upstream-drains"}
+
+// stopKinds are the kinds of stops and of faults of upstreams, sorted.
+var stopKinds = []string{
+	"terminate", "terminate-busy", "terminate-roll", "terminate-wave", "upstream-crash", "upstream-delay", "upstream-extra", "upstream-fails",
+	"upstream-loses", "upstream-mute", "upstream-one-way", "upstream-reset", "upstream-sheds", "upstream-silent", "upstream-slow", "upstream-truncate",
+	"upstreams-slow",
+}
 
 func upstreamFault(faults standin.Faults) func(s *soak, f fault) {
 	return func(s *soak, f fault) {
@@ -97,6 +114,24 @@
 	}
 }
 
+const (
+	// slowdown is the factor by which a slow upstream takes longer.
+	slowdown = 12
+	// slowEvery says that each such upstream is slow when many are.
+	slowEvery = 2
+)
+
+// slowUpstreams slows many upstreams at a time, for longer than a stop takes.
+func (s *soak) slowUpstreams(f fault) {
+	for i := f.target; i < f.target+len(s.ids); i += slowEvery {
+		s.upstream(fault{target: i}).SetFaults(standin.Faults{Slowdown: slowdown})
+	}
+	time.Sleep(time.Duration(s.options.GraceS) * time.Second)
+	for i := f.target; i < f.target+len(s.ids); i += slowEvery {
+		s.upstream(fault{target: i}).SetFaults(standin.Faults{})
+	}
+}
+
 const (
 	// meanFaultInterval is the mean time between two faults.
 	meanFaultInterval = 600 * time.Millisecond
@@ -112,7 +147,10 @@
 // may overlap, and several may occur in quick succession.
 func generateFaults(seed uint64, o *options) []fault {
 	kinds := plannedKinds
-	if !o.Planned {
+	switch {
+	case o.Stops:
+		kinds = stopKinds
+	case !o.Planned:
 		kinds = slices.Sorted(maps.Keys(injectors))
 	}
 	rng := rand.New(rand.NewPCG(seed, seed))
@@ -157,6 +195,43 @@
 	}
 }
 
+// terminateBusy terminates a VM as soon as it has a slow request in flight.
+func (s *soak) terminateBusy(f fault) {
+	for until := time.Now().Add(f.duration); s.vm(f).slow.Load() == 0 && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	s.terminate(f)
+}
+
+// waveSize is the number of VMs that a wave terminates at a time.
+const waveSize = 3
+
+// terminateWave terminates and restarts all VMs, some at a time, without waiting
+// for the ones before.
+func (s *soak) terminateWave(f fault) {
+	var running sync.WaitGroup
+	for i := range s.vms {
+		if i > 0 && i%waveSize == 0 {
+			time.Sleep(time.Second + f.duration/3)
+		}
+		t := &terminator{soak: s, fault: fault{target: f.target + i, duration: f.duration / 4}}
+		running.Add(1)
+		go t.run(&running)
+	}
+	running.Wait()
+}
+
+// terminator terminates one VM of a wave.
+type terminator struct {
+	soak  *soak
+	fault fault
+}
+
+func (t *terminator) run(wg *sync.WaitGroup) {
+	defer wg.Done()
+	t.soak.terminateBusy(t.fault)
+}
+
 // dropStoreHistory changes the configuration and drops the store's history
 // while watches receive no events, so that they can't resume.
 func (s *soak) dropStoreHistory(f fault) {
--- a/cmd/leversoak/main.go
+++ b/cmd/leversoak/main.go
@@ -23,6 +23,10 @@
 	Callers   int           `long:"callers" description:"number of callers per VM" default:"4"`
 	GraceS    int           `long:"grace" description:"grace period of a process that is terminated, in seconds" default:"3"`
 	Planned   bool          `long:"planned" description:"inject planned work only: stops, reloads, configurations and drains"`
+	Stops     bool          `long:"stops" description:"inject stops of VMs and faults of upstreams only"`
+	Link      time.Duration `long:"link" description:"delay each way between callers and VMs, through a balancer that closes both sides when one closes"`
+	VMProcs   int           `long:"vm-procs" description:"GOMAXPROCS of the VMs, 0 for the default"`
+	KeepLogs  bool          `long:"keep-logs" description:"keep the VM logs of seeds that pass, too"`
 	Duration  time.Duration `long:"length" description:"time during which faults are injected" default:"12s"`
 	Faults    string        `long:"faults" description:"numbers of the seed's faults to inject, like 0,3; all if empty"`
 	RulesOnly bool          `long:"rules-only" description:"check only answers, runs and budgets, not times"`
--- a/cmd/leversoak/soak.go
+++ b/cmd/leversoak/soak.go
@@ -26,6 +26,11 @@
 	// observeTime.
 	minServed      = 0.99
 	requestTimeout = time.Second
+	// slowReaderEvery says that each such caller of a VM reads slowly, with a small
+	// receive buffer, in bytes, and a pause before each read.
+	slowReaderEvery = 4
+	slowReadBuffer  = 4 << 10
+	slowReadPause   = 2 * time.Millisecond
 )
 
 // soak is the state of one run of a seed.
@@ -93,7 +98,7 @@
 	}
 	s.tearDown()
 	r.events = s.events
-	if len(r.violations) > 0 {
+	if len(r.violations) > 0 || o.KeepLogs {
 		s.saveLogs(dir)
 	}
 	return r
@@ -135,11 +140,18 @@
 		}
 	}
 	for n := range s.options.VMs {
-		v := &vm{n: n, program: s.options.Program, dir: dir, ports: ports, graceS: s.options.GraceS, logf: s.logf}
+		v := &vm{n: n, program: s.options.Program, dir: dir, ports: ports, graceS: s.options.GraceS, procs: s.options.VMProcs, logf: s.logf}
 		if v.store, err = newProxy("127.0.0.1:0"); err != nil {
 			return err
 		}
 		v.store.setTarget(s.sim.Address("store"))
+		if s.options.Link > 0 {
+			if v.balancer, err = newProxy("127.0.0.1:0"); err != nil {
+				return err
+			}
+			v.balancer.setTarget(v.address(0))
+			v.balancer.impair(s.options.Link, false, false, false)
+		}
 		if err := v.writeSettings(standin.RetrySlack); err != nil {
 			return err
 		}
@@ -169,7 +181,10 @@
 	for _, v := range s.vms {
 		for i := range s.options.Callers {
 			c := &caller{soak: s, vm: v, number: i, rng: rand.New(rand.NewPCG(s.seed, uint64(v.n*s.options.Callers+i)))}
-			c.connection.Address = v.address(0)
+			c.connection.Address = v.callerAddress()
+			if i%slowReaderEvery == 1 {
+				c.connection.ReadBuffer, c.connection.ReadPause = slowReadBuffer, slowReadPause
+			}
 			callers.Add(1)
 			go c.run(&callers)
 		}
@@ -200,7 +215,11 @@
 
 func (r *faultRunner) run(wg *sync.WaitGroup) {
 	defer wg.Done()
-	injectors[r.fault.kind](r.soak, r.fault)
+	inject := injectors[r.fault.kind]
+	if inject == nil {
+		inject = stopInjectors[r.fault.kind]
+	}
+	inject(r.soak, r.fault)
 }
 
 // verify collects the violated rules and checks that each VM is ready and has
--- a/cmd/leversoak/vm.go
+++ b/cmd/leversoak/vm.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,7 +28,13 @@
 	// graceS is the grace period of a terminating process, in seconds.
 	graceS int
 	store  *proxy
-	logf   func(format string, args ...any)
+	// balancer is the proxy between callers and the VM, or nil.
+	balancer *proxy
+	// procs is GOMAXPROCS of the process, or 0.
+	procs int
+	// slow is the number of requests to the service "slow" in flight.
+	slow atomic.Int64
+	logf func(format string, args ...any)
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -38,6 +45,30 @@
 	paused bool
 	// resumedAt is when the last pause ended.
 	resumedAt time.Time
+	// stopping is set from the first SIGTERM to a process until the next one starts.
+	// terminatedAt is when that SIGTERM was sent.
+	stopping     bool
+	terminatedAt time.Time
+}
+
+// callerAddress returns the address that callers connect to.
+func (v *vm) callerAddress() string {
+	if v.balancer != nil {
+		return v.balancer.address()
+	}
+	return v.address(0)
+}
+
+// stoppedBefore returns when SIGTERM was sent, if the time at is in the grace period
+// or the second after it, and the grace period.
+func (v *vm) stoppedBefore(at time.Time) (time.Time, time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	grace := time.Duration(v.graceS) * time.Second
+	if at.Before(v.terminatedAt) || at.After(v.terminatedAt.Add(grace+time.Second)) {
+		return time.Time{}, grace
+	}
+	return v.terminatedAt, grace
 }
 
 // ip returns the VM's own loopback address. Separate addresses let all VMs use
@@ -63,6 +94,11 @@
 func (v *vm) start() error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.startLocked()
+}
+
+// startLocked starts a process. The caller holds the mutex.
+func (v *vm) startLocked() error {
 	var err error
 	if v.log == nil {
 		if v.log, err = os.Create(filepath.Join(v.dir, fmt.Sprintf("vm%d.log", v.n))); err != nil {
@@ -71,12 +107,15 @@
 	}
 	c := exec.Command(v.program, "entry")
 	c.Env = append(os.Environ(), platform.SettingsVariable+"="+v.settingsPath())
+	if v.procs > 0 {
+		c.Env = append(c.Env, fmt.Sprintf("GOMAXPROCS=%d", v.procs))
+	}
 	c.Stdout, c.Stderr = v.log, v.log
 	if err := c.Start(); err != nil {
 		return err
 	}
 	v.cmd, v.exited = c, make(chan struct{})
-	v.paused = false
+	v.paused, v.stopping = false, false
 	w := &waiter{vm: v, cmd: c, exited: v.exited}
 	go w.run()
 	return nil
@@ -104,6 +143,9 @@
 	if s == syscall.SIGCONT {
 		v.resumedAt = time.Now()
 	}
+	if s == syscall.SIGTERM && !v.stopping {
+		v.stopping, v.terminatedAt = true, time.Now()
+	}
 	if v.cmd != nil {
 		// The error for a process that has already exited is ignored.
 		_ = v.cmd.Process.Signal(s)
@@ -128,7 +170,13 @@
 		<-exited
 	}
 	time.Sleep(pause)
-	if err := v.start(); err != nil {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.exited != exited {
+		// Another restart, which overlaps with this one, has started it.
+		return inTime
+	}
+	if err := v.startLocked(); err != nil {
 		v.logf("vm%d failed to start: %v", v.n, err)
 	}
 	return inTime
@@ -152,6 +200,9 @@
 		<-exited
 	}
 	v.store.close()
+	if v.balancer != nil {
+		v.balancer.close()
+	}
 }
 
 // isReady sends the same readiness request as the platform's load balancer.
