cmd/leversoak: odd entries of another writer, and heads that stop midway

At the end a VM that answers 503 to a route of the last version breaks a rule as 404 does: that is what VMs answer which have lost the store.

--- a/cmd/leversoak/fault.go
+++ b/cmd/leversoak/fault.go
@@ -59,6 +59,7 @@
 		s.vm(f).store.impair(0, true, true, true)
 		s.undoAfter(f, func() { s.vm(f).store.impair(0, false, false, false); s.vm(f).store.reset() })
 	},
+	"store-odd":    (*soak).putOddEntries,
 	"store-resets": func(s *soak, f fault) { s.vm(f).store.reset() },
 	"upstream-delay": func(s *soak, f fault) {
 		s.upstreamProxy(f).impair(60*time.Millisecond, false, false, false)
@@ -79,6 +80,7 @@
 	"upstream-loses":    upstreamFault(standin.Faults{LoseResponses: true}),
 	"upstream-extra":    upstreamFault(standin.Faults{Extra: true}),
 	"upstream-truncate": upstreamFault(standin.Faults{Truncate: true}),
+	"upstream-cut-head": upstreamFault(standin.Faults{CutHead: true}),
 	"upstream-mute":     upstreamFault(standin.Faults{Silent: true}),
 	"upstream-drains":   (*soak).drainUpstream,
 	"config":            (*soak).changeConfig,
@@ -167,6 +169,21 @@
 	s.sim.Store.SetWatchMute(false)
 }
 
+// putOddEntries adds entries of another writer, which stay, to those of the upstreams,
+// the VMs and the configurations, and then changes the configuration, which has to
+// come into force nevertheless.
+func (s *soak) putOddEntries(f fault) {
+	for _, kind := range []string{"servers", "arbutus-vms", "config"} {
+		for name, text := range standin.OddEntries("once", unusedAddress) {
+			s.sim.Store.PutVerbatim(kind, name, text)
+		}
+	}
+	s.changeConfig(f)
+}
+
+// unusedAddress is one at which nothing listens.
+const unusedAddress = "127.0.0.1:1"
+
 // drainUpstream announces an upstream as draining and, at the end of the fault,
 // as ready again.
 func (s *soak) drainUpstream(f fault) {
--- a/cmd/leversoak/soak.go
+++ b/cmd/leversoak/soak.go
@@ -219,7 +219,7 @@
 			continue
 		}
 		a := standin.SendRequest(http.DefaultClient, http.MethodGet, "http://"+v.address(0), fmt.Sprintf("s%d-last-%d", s.seed, v.n), path+"x", requestTimeout)
-		if a.Status == http.StatusNotFound || a.Status == 0 {
+		if a.Status == http.StatusNotFound || a.Status == http.StatusServiceUnavailable || a.Status == 0 {
 			s.violationf("vm%d answers %d to a route of version %d", v.n, a.Status, s.version)
 		}
 	}
