--- a/cmd/leversoak/vm.go
+++ b/cmd/leversoak/vm.go
@@ -36,9 +36,6 @@
 	slow atomic.Int64
 	logf func(format string, args ...any)
 
-	// restarting is held during a restart.
-	restarting sync.Mutex
-
 	mu  sync.Mutex
 	cmd *exec.Cmd
 	// exited is closed when the current process has exited.
@@ -159,9 +156,6 @@
 // a pause. It reports whether the process exited within the grace period; after
 // that and one more second, the process is killed.
 func (v *vm) restart(s syscall.Signal, pause time.Duration) bool {
-	// Two restarts at once would start two processes, of which one is lost.
-	v.restarting.Lock()
-	defer v.restarting.Unlock()
 	v.mu.Lock()
 	exited := v.exited
 	v.mu.Unlock()
