internal/leverengine, leverdrain: a runner answers before the end; pauses are bounded

It now gets 20 ms less. A process that is short of processor time got 100 ms more at each poll of the close, without a bound; now three times at most.

--- a/internal/leverdrain/drain.go
+++ b/internal/leverdrain/drain.go
@@ -27,6 +27,8 @@
 	// became due meanwhile.
 	pauseThreshold = 100 * time.Millisecond
 	pauseAllowance = 100 * time.Millisecond
+	// maxPauses bounds how often a process that is short of processor time gets it.
+	maxPauses = 3
 )
 
 // Tracker tracks the connections of one http.Server. The zero value is ready to
@@ -94,10 +96,12 @@
 	started := time.Now()
 	// The process may also have been paused before.
 	until = later(until, started.Add(pauseAllowance))
+	pauses := 0
 	for last := started; ; {
 		conns := t.list()
 		now := time.Now()
-		if now.Sub(last) > pauseThreshold {
+		if now.Sub(last) > pauseThreshold && pauses < maxPauses {
+			pauses++
 			until = later(until, now.Add(pauseAllowance))
 		}
 		last = now
--- a/internal/leverengine/ending.go
+++ b/internal/leverengine/ending.go
@@ -13,6 +13,9 @@
 	// endingRetryAfter is the retry delay suggested to callers whose requests the
 	// ending VM refuses: another VM can take them at once.
 	endingRetryAfter = 10 * time.Millisecond
+	// delegatedMargin is reserved for the answer of the VM that runs a delegated
+	// request to this one.
+	delegatedMargin = 20 * time.Millisecond
 	// endingReason is the reason of requests that end with the VM's work.
 	endingReason = "the VM stops"
 )
@@ -93,7 +96,7 @@
 func (e *Engine) delegateUntilEnd(ctx context.Context, d Delegate, req *Request, view *leverdirectory.View, r *leverdirectory.Route) (*Outcome, bool) {
 	deadline, timeout := req.deadline(r), req.CallerTimeout
 	if at := e.ending.limit(deadline); at.Before(deadline) {
-		req.CallerTimeout = at.Sub(req.Received)
+		req.CallerTimeout = max(at.Sub(req.Received)-delegatedMargin, time.Millisecond)
 		defer func() { req.CallerTimeout = timeout }()
 	}
 	end := e.ending.context()
--- a/internal/leverengine/ending_test.go
+++ b/internal/leverengine/ending_test.go
@@ -43,7 +43,7 @@
 }
 
 // patientRunner is a runner that merges the parts it has at the deadline of the
-// request that it is given.
+// request that it is given. Its answer takes 1 ms.
 type patientRunner struct{}
 
 func (patientRunner) Run(ctx context.Context, req *leverengine.Request, _ leverid.ConfigVersion, _ int) (*leverengine.Outcome, bool) {
@@ -52,7 +52,7 @@
 		wait = min(wait, req.CallerTimeout)
 	}
 	select {
-	case <-time.After(time.Until(req.Received.Add(wait - time.Millisecond))):
+	case <-time.After(time.Until(req.Received.Add(wait + time.Millisecond))):
 		return &leverengine.Outcome{Verdict: leverengine.Merged, Missing: 1}, true
 	case <-ctx.Done():
 		return &leverengine.Outcome{Verdict: leverengine.CallerGone, MaybeRan: true}, true
