internal/leverpool: a late copy is no answer to the next send of its request

Cause: all sends of a request share its id, and the id is all that tells a late copy from the answer that is due.

A connection remembers to which requests that must not run twice it has carried another answer than a success, and does not carry these again. A copy arrives on the connection of its answer, so it can only meet other requests, which it fails by its id. It remembers hashes (a collision costs a reuse) without a time limit, so that further exchanges on the connection don't matter, at most 128 (1 KB); then it is closed instead of forgetting one. A success ends its request, with one exception that is removed: a success that says that it has not run counted as a refusal and was sent again. It now proves nothing.

Requests that may be repeated are left alone: a copy is a true answer to them and no promise hangs on it; it can cost a retry. Calls between VMs have a number of their own on each connection, and a reply whose call has ended is dropped: unchanged.

Cost: the next send of a refused request uses another idle connection or a new one; at the limit of connections, the oldest idle one is closed for it. A new connection that the upstream resets may have run the request, which then ends with 502 instead of another retry.

--- a/internal/leverengine/attempt.go
+++ b/internal/leverengine/attempt.go
@@ -137,6 +137,9 @@
 		return leverhealth.WrongUpstream
 	case a.meta.Absent != "":
 		return leverhealth.Absent
+	case a.meta.NotRun && a.reply.Status < http.StatusMultipleChoices:
+		// A success that has not run contradicts itself and proves nothing.
+		return leverhealth.Reset
 	case a.meta.NotRun:
 		return leverhealth.Shed
 	case a.meta.Signature == "" || a.meta.Encoded:
--- a/internal/leverpool/conn.go
+++ b/internal/leverpool/conn.go
@@ -2,13 +2,17 @@
 
 import (
 	"bufio"
+	"hash/maphash"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"arbutuslever.dev/lever/internal/leverid"
+
 	"github.com/juju/errors"
 )
 
@@ -29,6 +33,9 @@
 	idleSince time.Time
 	idleLimit time.Duration
 	retired   bool
+	// failures holds the hashes of the requests that must not run twice to which the
+	// connection has carried another answer than a success. The pool's mutex guards it.
+	failures []uint64
 
 	// responded says that the connection has carried a response. Only the read
 	// loop uses it.
@@ -128,6 +135,12 @@
 		return false
 	}
 	c.responded = true
+	if !c.recordAnswer(x, reply) {
+		c.close()
+		c.takePending()
+		x.finish(reply, nil)
+		return false
+	}
 	c.takePending()
 	// From here on Cancel does not close the connection.
 	x.markEnded()
@@ -138,6 +151,36 @@
 	return true
 }
 
+// maxFailures is how many requests a connection remembers. It is closed instead of
+// forgetting one.
+const maxFailures = 128
+
+var hashSeed = maphash.MakeSeed()
+
+// recordAnswer remembers a request that may be sent again after its answer. It returns
+// false if the connection must not carry further requests.
+func (c *conn) recordAnswer(x *Exchange, r *Reply) bool {
+	if !x.target.Once || r.Status < http.StatusMultipleChoices {
+		return true
+	}
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if len(c.failures) >= maxFailures {
+		return false
+	}
+	c.failures = append(c.failures, hashOf(x.target.Request))
+	return true
+}
+
+// mayRepeat reports whether a copy of an earlier answer to the request may arrive late
+// on the connection, where it could not be told from the answer to the next send. The
+// caller holds the pool's mutex.
+func (c *conn) mayRepeat(id leverid.RequestID) bool {
+	return len(c.failures) > 0 && slices.Contains(c.failures, hashOf(id))
+}
+
+func hashOf(id leverid.RequestID) uint64 { return maphash.String(hashSeed, string(id)) }
+
 func (c *conn) peekPending() *Exchange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/leverpool/exchange.go
+++ b/internal/leverpool/exchange.go
@@ -25,8 +25,9 @@
 	MaxConnections int
 	// Once marks a request that must not run twice.
 	Once bool
-	// Request lets the upstream's home VM check the response. Rank, Floors and
-	// Deadline determine how a queue in front of the upstream treats the call.
+	// Request lets the upstream's home VM check the response. With Once, it keeps the
+	// call off the connections that have carried a failed answer to the request. Rank,
+	// Floors and Deadline determine how a queue in front of the upstream treats the call.
 	Request  leverid.RequestID
 	Rank     leverid.Rank
 	Floors   leverrank.Floors
--- a/internal/leverpool/pool.go
+++ b/internal/leverpool/pool.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -180,25 +181,27 @@
 	return h
 }
 
-// takeIdle returns the most recently used idle connection, or nil if it has
-// been idle for too long. It closes those that are past their idle limit.
-func (p *Pool) takeIdle(h *host, once bool, now time.Time) *conn {
-	for len(h.idle) > 0 {
-		c := h.idle[len(h.idle)-1]
-		limit := c.idleLimit
-		if once {
-			limit = min(limit, onceIdleLimit)
-		}
-		if now.Sub(c.idleSince) < limit {
-			h.idle = h.idle[:len(h.idle)-1]
-			p.stats.Reused++
-			return c
+// takeIdle returns the most recently used idle connection that may carry a call to t,
+// or nil. It closes those that are past their idle limit.
+func (p *Pool) takeIdle(h *host, t *Target, now time.Time) *conn {
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		c := h.idle[i]
+		idle := now.Sub(c.idleSince)
+		if idle >= c.idleLimit {
+			h.idle = slices.Delete(h.idle, i, i+1)
+			retire(c)
+			continue
 		}
-		if once && now.Sub(c.idleSince) < c.idleLimit {
+		if t.Once && idle >= onceIdleLimit {
+			// The others have been idle for longer.
 			return nil
 		}
-		h.idle = h.idle[:len(h.idle)-1]
-		retire(c)
+		if t.Once && c.mayRepeat(t.Request) {
+			continue
+		}
+		h.idle = slices.Delete(h.idle, i, i+1)
+		p.stats.Reused++
+		return c
 	}
 	return nil
 }
--- a/internal/leverpool/wait.go
+++ b/internal/leverpool/wait.go
@@ -82,12 +82,12 @@
 	if x.target.Placement != nil {
 		x.target.Placement.Place(u)
 	}
-	if c := p.takeIdle(h, x.target.Once, now); c != nil {
+	if c := p.takeIdle(h, &x.target, now); c != nil {
 		return grant{x, c}
 	}
 	if len(h.idle) > 0 && h.open >= h.limit(x.target.MaxConnections, now) {
-		// The idle connections are too old for a request that must not run twice.
-		// The oldest one makes room for a new one.
+		// The idle connections are too old for a request that must not run twice, or
+		// may repeat an answer to it. The oldest one makes room for a new one.
 		oldest := h.idle[0]
 		h.idle = h.idle[1:]
 		retire(oldest)
