internal/leverhealth, internal/leverengine: upstreams that leave get no requests

An upstream that is about to exit says so in its answers, also in failures and refusals, before or without a change of its entry. A VM went on sending requests to it until the entry changed.

Every response head counts: of losers of hedges, of attempts that outlive their request, of branches, and of bodies that are cut. A 421 does not: it comes from another upstream than the expected one. Such an upstream is no candidate, also if there is no other. If no upstream of a service is left, attempts that wait are withdrawn at once, and the request is refused as not run with a Retry-After. A fan-out whose remaining parts can't reach the coverage is refused before anything is sent, unless other VMs may run its branches. Idle connections to the upstream are closed.

--- a/internal/leverengine/attempt.go
+++ b/internal/leverengine/attempt.go
@@ -92,6 +92,7 @@
 	if s := a.meta.Service; s != "" && s != a.candidates.service {
 		return errors.Errorf("response comes from shard %q", s)
 	}
+	a.recordBlock()
 	return nil
 }
 
@@ -106,6 +107,8 @@
 		if status := f.engine.Health.End(p.upstream, f.class, p.at, a.kind, now); status != "" {
 			f.recordStatus(a, status)
 		}
+	} else {
+		f.waiting.Add(-1)
 	}
 	if a.extra && (a.kind == leverhealth.Withdrawn || a.kind == leverhealth.Refused) {
 		// An attempt that was never sent is no extra one.
--- /dev/null
+++ b/internal/leverengine/block.go
@@ -0,0 +1,145 @@
+package leverengine
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"arbutuslever.dev/lever/internal/leverdirectory"
+	"arbutuslever.dev/lever/internal/leverhealth"
+	"arbutuslever.dev/lever/internal/leverid"
+	"arbutuslever.dev/lever/internal/levermetric"
+)
+
+// blockedReason is the reason of requests for which upstreams are known but take no
+// requests. The service follows.
+const blockedReason = "the upstreams take no requests: "
+
+// broadcast wakes all goroutines that wait for it. The zero value is ready to use.
+type broadcast struct {
+	mu sync.Mutex
+	c  chan struct{}
+}
+
+// next returns a channel that the next send closes.
+func (b *broadcast) next() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.c == nil {
+		b.c = make(chan struct{})
+	}
+	return b.c
+}
+
+func (b *broadcast) send() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.c != nil {
+		close(b.c)
+		b.c = nil
+	}
+}
+
+// recordBlock records that the upstream of an attempt takes no more requests if its
+// response says so. A response of another upstream says nothing about the expected
+// one.
+func (a *attempt) recordBlock() {
+	e := a.fanout.engine
+	p := a.placed.Load()
+	if p == nil || a.meta.WrongUpstream || !a.meta.Leaving || !e.Health.Leave(p.upstream, e.Timer.Now()) {
+		return
+	}
+	e.Metrics.Add(levermetric.Name("upstream-beliefs", "belief", "leaving"), 1)
+	e.Log.Info("an upstream is leaving", "upstream", p.upstream.ID, "service", p.upstream.Service, "address", p.upstream.Address,
+		"born", p.upstream.Born, "id", a.fanout.req.ID)
+	key := p.upstream.Key()
+	e.Pool.Retain(func(k leverdirectory.Key) bool { return k != key })
+	e.blocked.send()
+}
+
+// wait returns how long no upstream of a service takes requests from this VM: 0 if one
+// does or none is known.
+func (e *Engine) wait(s leverid.ServiceID, now time.Time) time.Duration {
+	if !e.Health.AnyBlocked() {
+		return 0
+	}
+	shortest := time.Duration(0)
+	for _, u := range e.Directory.View().Upstreams(s) {
+		d := e.Health.Wait(u, now)
+		if d == 0 {
+			return 0
+		}
+		if shortest == 0 || d < shortest {
+			shortest = d
+		}
+	}
+	return shortest
+}
+
+func (f *fanout) isBlocked(s leverid.ServiceID, now time.Time) bool { return f.engine.wait(s, now) > 0 }
+
+// watchBlocks withdraws the attempts that wait while no upstream takes requests. If
+// others wait, it returns a channel that is closed when that may have changed.
+func (f *fanout) watchBlocks(now time.Time) <-chan struct{} {
+	if f.waiting.Load() == 0 {
+		return nil
+	}
+	next := f.engine.blocked.next()
+	if !f.engine.Health.AnyBlocked() {
+		return next
+	}
+	for _, a := range f.attempts {
+		if !a.handled && a.waiting() && f.isBlocked(f.parts[a.part].service, now) {
+			a.exchange.Withdraw()
+		}
+	}
+	return next
+}
+
+// partWaits returns how long the parts whose upstreams take no requests have to wait,
+// in ascending order.
+func (f *fanout) partWaits(now time.Time) []time.Duration {
+	if !f.engine.Health.AnyBlocked() {
+		return nil
+	}
+	var waits []time.Duration
+	for i := range f.parts {
+		if p := &f.parts[i]; !p.done && !p.branched {
+			if d := f.engine.wait(p.service, now); d > 0 {
+				waits = append(waits, d)
+			}
+		}
+	}
+	slices.Sort(waits)
+	return waits
+}
+
+// leastParts returns the least number of parts of an answer.
+func (f *fanout) leastParts() int {
+	if !f.gather {
+		return 1
+	}
+	return leastParts(f.route.LeastCoverage, len(f.parts))
+}
+
+// lacksParts reports whether too few parts have upstreams that take requests. Other
+// VMs may run parts that this one can't.
+func (f *fanout) lacksParts(now time.Time) bool {
+	if f.gather && f.engine.Brancher != nil {
+		return false
+	}
+	return len(f.partWaits(now)) > len(f.parts)-f.leastParts()
+}
+
+// retryAfter returns when enough upstreams may take requests.
+func (f *fanout) retryAfter(now time.Time) time.Duration {
+	waits := f.partWaits(now)
+	needed := len(waits) - (len(f.parts) - f.leastParts())
+	if needed < 1 {
+		return defaultRetryAfter
+	}
+	if d := waits[needed-1]; d < leverhealth.Forever {
+		return d
+	}
+	return defaultRetryAfter
+}
--- a/internal/leverengine/choose.go
+++ b/internal/leverengine/choose.go
@@ -23,14 +23,14 @@
 }
 
 // pick returns the accepted candidate with the shortest estimated response time, and
-// that estimate.
+// that estimate. Upstreams that take no requests from this VM are no candidates.
 func (f *fanout) pick(c *candidates, now time.Time, accept func(*leverdirectory.Upstream) bool) (*leverdirectory.Upstream, time.Duration) {
 	var best *leverdirectory.Upstream
 	var bestTime time.Duration
 	for _, alreadyTried := range []bool{false, true} {
 		found := false
 		for _, u := range f.engine.Directory.View().Upstreams(c.service) {
-			if c.tried(u) != alreadyTried {
+			if c.tried(u) != alreadyTried || f.engine.Health.Wait(u, now) > 0 {
 				continue
 			}
 			found = true
--- a/internal/leverengine/conclude.go
+++ b/internal/leverengine/conclude.go
@@ -82,7 +82,7 @@
 	if f.maybeRunning() {
 		return &Outcome{Verdict: MayHaveRun, Reason: f.reason}
 	}
-	return &Outcome{Verdict: NotRun, RetryAfter: defaultRetryAfter, Reason: f.reason}
+	return &Outcome{Verdict: NotRun, RetryAfter: f.retryAfter(f.engine.Timer.Now()), Reason: f.reason}
 }
 
 // maybeRunning reports whether an upstream may have run or may run the request.
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -62,6 +62,9 @@
 	newConnResets newConnResets
 	inFlight      atomic.Int64
 	ending        ending
+	// blocked wakes the requests with attempts that wait when an upstream takes no
+	// more requests.
+	blocked broadcast
 }
 
 // Delegate runs requests on other VMs.
@@ -189,5 +192,7 @@
 // that are no longer in the directory.
 func (e *Engine) DirectoryChanged(view *leverdirectory.View) {
 	e.Pool.Retain(view.Contains)
-	e.Health.Retain(view.Contains)
+	for _, k := range e.Health.Retain(view.Contains, e.Timer.Now()) {
+		e.Log.Info("an upstream that was leaving is gone", "upstream", k.ID, "address", k.Address, "born", k.Born)
+	}
 }
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"sync/atomic"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverbudget"
@@ -74,6 +75,8 @@
 	// the encoding.
 	call    *leverpool.Call
 	results chan *attempt
+	// waiting is the number of attempts that wait for an upstream with room.
+	waiting atomic.Int64
 	// attempts holds all attempts, including those that have ended.
 	attempts []*attempt
 }
@@ -195,6 +198,7 @@
 	}
 	for {
 		now := f.engine.Timer.Now()
+		blocked := f.watchBlocks(now)
 		if out := f.conclude(now); out != nil {
 			return out
 		}
@@ -206,6 +210,7 @@
 			f.handleBranchEvent(ev)
 		case now := <-alarm.C:
 			f.onTimer(now)
+		case <-blocked:
 		case <-end:
 			f.endEarly()
 		case <-finished:
@@ -281,7 +286,12 @@
 		return
 	}
 	u, _ := f.pickUpstream(p, now)
-	if u == nil {
+	switch {
+	case u == nil && f.isBlocked(p.service, now):
+		f.reason = blockedReason + string(p.service)
+		p.exhausted = p.inFlight == 0
+		return
+	case u == nil:
 		p.retryAt = now.Add(retryDelay)
 		f.reason = "no upstream available for " + string(p.service)
 		return
--- a/internal/leverengine/place.go
+++ b/internal/leverengine/place.go
@@ -53,14 +53,18 @@
 // that it waits is not held against any upstream.
 func (a *attempt) Place(u *leverdirectory.Upstream) {
 	e := a.fanout.engine
-	if p := a.placed.Load(); p != nil {
-		if p.upstream == u {
-			return
-		}
+	p := a.placed.Load()
+	switch {
+	case p == nil && u == nil, p != nil && p.upstream == u:
+		return
+	case p == nil:
+		a.fanout.waiting.Add(-1)
+	default:
 		e.Health.Withdraw(p.upstream, p.at)
 	}
 	if u == nil {
 		a.placed.Store(nil)
+		a.fanout.waiting.Add(1)
 		return
 	}
 	now := e.Timer.Now()
@@ -75,10 +79,11 @@
 // out as long as there are others.
 func (a *attempt) Choose(hasRoom func(*leverdirectory.Upstream) bool) *leverdirectory.Upstream {
 	f := a.fanout
-	if !slices.ContainsFunc(f.engine.Directory.View().Upstreams(a.candidates.service), hasRoom) {
+	now := f.engine.Timer.Now()
+	usable := func(u *leverdirectory.Upstream) bool { return f.engine.Health.Wait(u, now) == 0 && hasRoom(u) }
+	if !slices.ContainsFunc(f.engine.Directory.View().Upstreams(a.candidates.service), usable) {
 		return nil
 	}
-	now := f.engine.Timer.Now()
 	sound := false
 	u, _ := f.pick(&a.candidates, now, func(u *leverdirectory.Upstream) bool {
 		if f.engine.Health.Avoided(u, f.class, now) {
--- a/internal/leverengine/request.go
+++ b/internal/leverengine/request.go
@@ -192,6 +192,9 @@
 	// WrongUpstream reports that an upstream other than the expected one
 	// responded.
 	WrongUpstream bool
+	// Leaving reports that the upstream is about to exit and wants no more
+	// requests.
+	Leaving bool
 	// Encoded reports that the body has a content encoding, so that it is not
 	// what the upstream sent.
 	Encoded bool
--- a/internal/leverhealth/tracker.go
+++ b/internal/leverhealth/tracker.go
@@ -90,6 +90,7 @@
 	mu      sync.Mutex
 	states  map[leverdirectory.Key]*state
 	classes map[Class]*classStats
+	blocks  blocks
 }
 
 // classStats holds the response time statistics of a class over all upstreams,
@@ -370,8 +371,8 @@
 }
 
 // Retain removes the upstreams for which known returns false, except those with
-// calls in flight.
-func (t *Tracker) Retain(known func(leverdirectory.Key) bool) {
+// calls in flight. It returns those that it no longer takes for leaving.
+func (t *Tracker) Retain(known func(leverdirectory.Key) bool, now time.Time) []leverdirectory.Key {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for k, s := range t.states {
@@ -379,6 +380,7 @@
 			delete(t.states, k)
 		}
 	}
+	return t.blocks.retain(known, now)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/leverhealth/tracker_test.go
+++ b/internal/leverhealth/tracker_test.go
@@ -142,6 +142,6 @@
 	u := upstream("a")
 	now := warmUp(&tracker, u)
 	call(&tracker, u, now, 0, leverhealth.Refused)
-	tracker.Retain(func(leverdirectory.Key) bool { return false })
+	tracker.Retain(func(leverdirectory.Key) bool { return false }, now)
 	is.True(leverhealth.Usable(tracker.Estimate(u, class, now)))
 }
