internal/leverhealth, internal/leverengine: upstreams that ask for a pause get one

An upstream that turns a request away with 503 may add Retry-After: it wants nothing from this VM for so long. A VM took no notice and went on.

Each such answer now keeps the upstream from being a candidate until the pause ends, also if there is no other; the longest pause holds. If all upstreams of a service pause, requests without fan-out are refused at once as not run, with the shortest remaining pause as Retry-After, and attempts that wait are withdrawn. A part of a fan-out counts as exhausted: the answer is merged without it if the coverage allows, otherwise the request is refused before anything is sent, with the time after which enough parts have an upstream. That is decided once it is known which parts other VMs run, since their beliefs may differ; it replaces the check at the admission.

A value that is no time (below 0, inf, NaN, hexadecimal, a date) is ignored and logged once per run of the upstream. A Retry-After in an answer that is passed on, such as a 500, stays: it is the upstream's word to the caller.

--- a/internal/leverengine/admit.go
+++ b/internal/leverengine/admit.go
@@ -49,9 +49,6 @@
 	if limit := f.engine.MaxInFlight; limit > 0 && f.engine.InFlight() > limit {
 		return &Outcome{Verdict: NotRun, Cause: NoCapacity, RetryAfter: defaultRetryAfter, Reason: "too many requests in flight"}
 	}
-	if f.lacksParts(f.startTime) {
-		return &Outcome{Verdict: NotRun, RetryAfter: f.retryAfter(f.startTime), Reason: blockedReason + "too many parts"}
-	}
 	f.work = f.engine.Health.ServiceTime(f.class).Seconds()
 	if f.limiter.Admit(f.route.Rank, f.work, f.startTime) {
 		return nil
--- a/internal/leverengine/block.go
+++ b/internal/leverengine/block.go
@@ -40,21 +40,52 @@
 	}
 }
 
-// recordBlock records that the upstream of an attempt takes no more requests if its
-// response says so. A response of another upstream says nothing about the expected
-// one.
+// recordBlock records that the upstream of an attempt takes no requests, for a while or
+// at all, if its response says so. A response of another upstream says nothing about
+// the expected one.
 func (a *attempt) recordBlock() {
-	e := a.fanout.engine
 	p := a.placed.Load()
-	if p == nil || a.meta.WrongUpstream || !a.meta.Leaving || !e.Health.Leave(p.upstream, e.Timer.Now()) {
+	if p == nil || a.meta.WrongUpstream {
 		return
 	}
-	e.Metrics.Add(levermetric.Name("upstream-beliefs", "belief", "leaving"), 1)
-	e.Log.Info("an upstream is leaving", "upstream", p.upstream.ID, "service", p.upstream.Service, "address", p.upstream.Address,
-		"born", p.upstream.Born, "id", a.fanout.req.ID)
-	key := p.upstream.Key()
-	e.Pool.Retain(func(k leverdirectory.Key) bool { return k != key })
-	e.blocked.send()
+	e, u := a.fanout.engine, p.upstream
+	now := e.Timer.Now()
+	if a.meta.Leaving && e.Health.Leave(u, now) {
+		e.recordBelief("an upstream is leaving", "leaving", u, "born", u.Born, "id", a.fanout.req.ID)
+		key := u.Key()
+		e.Pool.Retain(func(k leverdirectory.Key) bool { return k != key })
+		e.blocked.send()
+	}
+	if a.meta.RetryAfter == "" {
+		return
+	}
+	if (a.meta.Pause < 0 || a.meta.Pause > leverhealth.MaxPause) && e.Health.FirstOddPause(u) {
+		e.recordBelief("an upstream asks for an odd pause", "odd-pause", u, "retry-after", a.meta.RetryAfter, "id", a.fanout.req.ID)
+	}
+	if d := min(a.meta.Pause, leverhealth.MaxPause); d > 0 && e.Health.Pause(u, d, now) {
+		e.recordBelief("an upstream asks for a pause", "pausing", u, "retry-after", d, "id", a.fanout.req.ID)
+		e.endPauseAfter(u, d)
+		e.blocked.send()
+	}
+}
+
+// endPauseAfter records the end of the pause of an upstream once it is over. It may
+// have grown meanwhile.
+func (e *Engine) endPauseAfter(u *leverdirectory.Upstream, d time.Duration) {
+	e.Timer.RunAfter(d, func() {
+		switch left := e.Health.EndPause(u, e.Timer.Now()); {
+		case left > 0:
+			e.endPauseAfter(u, left)
+		default:
+			e.recordBelief("an upstream's pause is over", "pause-over", u)
+		}
+	})
+}
+
+// recordBelief logs and counts what this VM begins or ceases to believe of an upstream.
+func (e *Engine) recordBelief(message, belief string, u *leverdirectory.Upstream, attributes ...any) {
+	e.Metrics.Add(levermetric.Name("upstream-beliefs", "belief", belief), 1)
+	e.Log.Info(message, append([]any{"upstream", u.ID, "service", u.Service, "address", u.Address}, attributes...)...)
 }
 
 // wait returns how long no upstream of a service takes requests from this VM: 0 if one
@@ -122,13 +153,19 @@
 	return leastParts(f.route.LeastCoverage, len(f.parts))
 }
 
-// lacksParts reports whether too few parts have upstreams that take requests. Other
-// VMs may run parts that this one can't.
+// lacksParts reports whether too few parts have upstreams that take requests. The VM
+// that has handed out a branch decides that for the whole request.
 func (f *fanout) lacksParts(now time.Time) bool {
-	if f.gather && f.engine.Brancher != nil {
-		return false
+	return f.sub == nil && len(f.partWaits(now)) > len(f.parts)-f.leastParts()
+}
+
+// giveUp ends a request of which nothing has been sent.
+func (f *fanout) giveUp() {
+	f.reason = blockedReason + "too many parts"
+	for i := range f.parts {
+		p := &f.parts[i]
+		p.branched, p.awaited, p.exhausted = false, false, true
 	}
-	return len(f.partWaits(now)) > len(f.parts)-f.leastParts()
 }
 
 // retryAfter returns when enough upstreams may take requests.
--- a/internal/leverengine/branch.go
+++ b/internal/leverengine/branch.go
@@ -119,7 +119,12 @@
 
 // startParts starts all parts, or the trial part only.
 func (f *fanout) startParts() {
-	f.startBranches()
+	plan := f.planBranches()
+	if f.lacksParts(f.startTime) {
+		f.giveUp()
+		return
+	}
+	f.startBranches(plan)
 	for i := range f.parts {
 		if f.parts[i].branched {
 			continue
@@ -131,26 +136,35 @@
 	}
 }
 
-// startBranches hands parts to other VMs if the fan-out is wide. Answers without
-// a record size can't be merged by parts, and suspect content runs here.
-func (f *fanout) startBranches() {
+// planBranches returns the parts that other VMs will run if the fan-out is wide, and
+// marks them. Answers without a record size can't be merged by parts, and suspect
+// content runs here.
+func (f *fanout) planBranches() []Branch {
 	e := f.engine
 	if e.Brancher == nil || f.sub != nil || !f.gather || f.trial || f.route.RecordBytes == 0 {
-		return
+		return nil
 	}
 	plan := e.Brancher.Plan(f.route, f.view)
+	for _, b := range plan {
+		for _, k := range b.Parts {
+			f.parts[k].branched, f.parts[k].awaited = true, true
+		}
+	}
+	return plan
+}
+
+// startBranches hands parts to other VMs.
+func (f *fanout) startBranches(plan []Branch) {
 	if len(plan) == 0 {
 		return
 	}
+	e := f.engine
 	f.branchEvents = make(chan BranchEvent)
 	f.ended = make(chan struct{})
 	f.reportAt = f.partialAt.Add(-e.reportLag.Estimate())
 	req := &BranchRequest{Request: f.req, ShardsHash: f.route.ShardsHash(), ReportAt: f.reportAt}
 	calls := e.Brancher.Start(req, plan, f.deliver)
 	for i, b := range plan {
-		for _, k := range b.Parts {
-			f.parts[k].branched, f.parts[k].awaited = true, true
-		}
 		f.branches = append(f.branches, branchState{Branch: b, call: calls[i], open: true})
 	}
 }
--- a/internal/leverengine/request.go
+++ b/internal/leverengine/request.go
@@ -195,6 +195,11 @@
 	// Leaving reports that the upstream is about to exit and wants no more
 	// requests.
 	Leaving bool
+	// RetryAfter is the delay that the upstream asks for before the next request of
+	// this VM, as received; empty if it asks for none. Pause is its value, negative if
+	// that is no time.
+	RetryAfter string
+	Pause      time.Duration
 	// Encoded reports that the body has a content encoding, so that it is not
 	// what the upstream sent.
 	Encoded bool
--- a/internal/leverhealth/block_test.go
+++ b/internal/leverhealth/block_test.go
@@ -42,3 +42,35 @@
 		})
 	}
 }
+
+// TestPause has a run ask for pauses. The longest one must hold until its end.
+func TestPause(t *testing.T) {
+	run := leverdirectory.Upstream{ID: "u", Address: "a", Born: 1}
+	cases := map[string]struct {
+		pauses []time.Duration
+		after  time.Duration
+		want   time.Duration
+	}{
+		"begun":           {[]time.Duration{time.Second}, 0, time.Second},
+		"under way":       {[]time.Duration{time.Second}, 300 * time.Millisecond, 700 * time.Millisecond},
+		"over":            {[]time.Duration{time.Second}, time.Second, 0},
+		"over for a time": {[]time.Duration{time.Second}, time.Minute, 0},
+		"extended":        {[]time.Duration{time.Second, 2 * time.Second}, time.Second, time.Second},
+		"not shortened":   {[]time.Duration{2 * time.Second, time.Second}, time.Second, time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var tracker leverhealth.Tracker
+			for i, d := range c.pauses {
+				is.Equal(tracker.Pause(&run, d, startTime), i == 0)
+			}
+			now := startTime.Add(c.after)
+			is.Equal(tracker.Wait(&run, now), c.want)
+			is.Equal(tracker.EndPause(&run, now), c.want)
+			is.Equal(tracker.AnyBlocked(), c.want > 0)
+			tracker.Leave(&run, now)
+			is.Equal(tracker.Wait(&run, now), leverhealth.Forever)
+		})
+	}
+}
