--- a/cmd/leversoak/caller.go
+++ b/cmd/leversoak/caller.go
@@ -57,7 +57,11 @@
 			c.vm.slow.Add(1)
 		}
 		id := fmt.Sprintf("s%d-%06d", c.soak.seed, c.soak.nextID.Add(1))
+		process := c.vm.process()
 		x := c.connection.Send(k.method, id, k.path+id, k.timeout)
+		if c.vm.process() == process && !c.vm.pausedSince(x.Sent) {
+			x.Process = process
+		}
 		if k.timeout == standin.SlowTimeout {
 			c.vm.slow.Add(-1)
 		}
--- a/cmd/leversoak/fault.go
+++ b/cmd/leversoak/fault.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -98,6 +99,20 @@
 	"upstreams-slow": (*soak).slowUpstreams,
 }
 
+// blockInjectors are the further ones for --blocks.
+var blockInjectors = map[string]func(s *soak, f fault){
+	"upstream-leaving": (*soak).leaveUpstream,
+	"upstream-pauses":  (*soak).pauseUpstream,
+	"service-pauses":   (*soak).pauseService,
+}
+
+// blockKinds are the kinds for --blocks, sorted. Links stay sound, since a VM may miss
+// the answer that asks for a pause otherwise.
+var blockKinds = []string{
+	"config", "kill", "pause", "service-pauses", "terminate-busy", "terminate-roll", "upstream-crash", "upstream-leaving", "upstream-pauses",
+	"upstream-sheds", "upstream-slow",
+}
+
 // plannedKinds are the kinds that are planned work, sorted.
 var plannedKinds = []string{"config", "config-storm", "hangup-series", "terminate", "terminate-busy", "terminate-roll", "terminate-wave", "upstream-drains"}
 
@@ -150,6 +165,8 @@
 func generateFaults(seed uint64, o *options) []fault {
 	kinds := plannedKinds
 	switch {
+	case o.Blocks:
+		kinds = blockKinds
 	case o.Stops:
 		kinds = stopKinds
 	case !o.Planned:
@@ -268,6 +285,45 @@
 	s.announce(u, "ready")
 }
 
+// leaveUpstream has an upstream say that it leaves while its entry stays as it is. It
+// exits after the time that VMs may take to notice, and another run follows.
+func (s *soak) leaveUpstream(f fault) {
+	u := s.upstream(f)
+	u.SetFaults(standin.Faults{Leaving: true})
+	time.Sleep(standin.DrainTime + f.duration)
+	s.sim.Stop(u.ID)
+	u.Renew()
+	s.start(u)
+	s.announce(u, "ready")
+}
+
+// pauseUpstream has an upstream refuse requests and ask for a pause that ends with the
+// fault.
+func (s *soak) pauseUpstream(f fault) { s.pauseAll(f, s.upstream(f)) }
+
+// pauseService has all upstreams of a service do so.
+func (s *soak) pauseService(f fault) {
+	var all []*standin.Upstream
+	for _, u := range s.sim.Upstreams() {
+		if u.Service == s.upstream(f).Service {
+			all = append(all, u)
+		}
+	}
+	s.pauseAll(f, all...)
+}
+
+func (s *soak) pauseAll(f fault, all ...*standin.Upstream) {
+	end := time.Now().Add(f.duration)
+	for ; time.Now().Before(end); time.Sleep(f.duration / 10) {
+		for _, u := range all {
+			u.SetFaults(standin.Faults{Shed: true, RetryAfter: strconv.FormatFloat(time.Until(end).Seconds(), 'f', 3, 64)})
+		}
+	}
+	for _, u := range all {
+		u.SetFaults(standin.Faults{})
+	}
+}
+
 func (s *soak) announce(u *standin.Upstream, state string) {
 	if err := s.sim.Register(u, state); err != nil {
 		s.logf("upstream %s: %v", u.ID, err)
--- a/cmd/leversoak/main.go
+++ b/cmd/leversoak/main.go
@@ -24,6 +24,7 @@
 	GraceS    int           `long:"grace" description:"grace period of a process that is terminated, in seconds" default:"3"`
 	Planned   bool          `long:"planned" description:"inject planned work only: stops, reloads, configurations and drains"`
 	Stops     bool          `long:"stops" description:"inject stops of VMs and faults of upstreams only"`
+	Blocks    bool          `long:"blocks" description:"inject upstreams that leave or ask for pauses, stops of VMs and sheds only"`
 	Link      time.Duration `long:"link" description:"delay each way between callers and VMs, through a balancer that closes both sides when one closes"`
 	VMProcs   int           `long:"vm-procs" description:"GOMAXPROCS of the VMs, 0 for the default"`
 	KeepLogs  bool          `long:"keep-logs" description:"keep the VM logs of seeds that pass, too"`
--- a/cmd/leversoak/soak.go
+++ b/cmd/leversoak/soak.go
@@ -215,11 +215,11 @@
 
 func (r *faultRunner) run(wg *sync.WaitGroup) {
 	defer wg.Done()
-	inject := injectors[r.fault.kind]
-	if inject == nil {
-		inject = stopInjectors[r.fault.kind]
+	for _, known := range []map[string]func(s *soak, f fault){injectors, stopInjectors, blockInjectors} {
+		if inject := known[r.fault.kind]; inject != nil {
+			inject(r.soak, r.fault)
+		}
 	}
-	inject(r.soak, r.fault)
 }
 
 // verify collects the violated rules and checks that each VM is ready and has
--- a/cmd/leversoak/vm.go
+++ b/cmd/leversoak/vm.go
@@ -41,6 +41,8 @@
 	// exited is closed when the current process has exited.
 	exited chan struct{}
 	log    *os.File
+	// starts is the number of processes so far.
+	starts int
 	// paused is set while the process is stopped by SIGSTOP and can't answer.
 	paused bool
 	// resumedAt is when the last pause ended.
@@ -116,6 +118,7 @@
 	}
 	v.cmd, v.exited = c, make(chan struct{})
 	v.paused, v.stopping = false, false
+	v.starts++
 	w := &waiter{vm: v, cmd: c, exited: v.exited}
 	go w.run()
 	return nil
@@ -189,6 +192,13 @@
 	return v.paused || v.resumedAt.After(since)
 }
 
+// process identifies the current process.
+func (v *vm) process() string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return fmt.Sprintf("vm%d/%d", v.n, v.starts)
+}
+
 // stop kills the process, waits for its exit and closes the proxy.
 func (v *vm) stop() {
 	v.mu.Lock()
