--- a/internal/leverdelegate/delegate.go
+++ b/internal/leverdelegate/delegate.go
@@ -153,6 +153,23 @@
 	return (1 - runnerShare) / max(n-float64(d.fleetRunners), 1)
 }
 
+// ExtraShare returns a VM's share, between 0 and 1, of the slack for extra
+// attempts. It depends only on the list of VMs, and not on which of them this VM
+// reaches. So VMs that do not reach each other divide the slack in the same way.
+func ExtraShare(self leverid.VMID, list []levermsg.VM) float64 {
+	n := float64(max(len(list), 1))
+	if len(list) < minFleet {
+		return 1 / n
+	}
+	ranked := leverrelay.Ranked(list)
+	runners := runnersOf(ranked, ranked[0].Power)
+	r := float64(len(runners))
+	if runners[self] {
+		return runnerShare / r
+	}
+	return (1 - runnerShare) / max(n-r, 1)
+}
+
 // runnerShare is the runners' combined share of the upstreams' connections and
 // of the slack for extra attempts.
 const runnerShare = 0.75
@@ -179,20 +196,26 @@
 	for _, vm := range d.Members.List() {
 		maxPower = max(maxPower, vm.Power)
 	}
-	fleetRunners := make(map[leverid.VMID]bool)
+	fleetRunners := runnersOf(ranked, maxPower)
+	d.fleetRunners = len(fleetRunners)
+	d.isRunner = fleetRunners[d.Self.ID]
+	d.runners = chooseRunners(ranked, d.Self.Domain, maxPower)
+}
+
+// runnersOf returns the runners of all failure domains.
+func runnersOf(ranked []levermsg.VM, maxPower float64) map[leverid.VMID]bool {
+	runners := make(map[leverid.VMID]bool)
 	seen := make(map[leverid.Domain]bool)
-	for _, vm := range live {
+	for _, vm := range ranked {
 		if seen[vm.Domain] {
 			continue
 		}
 		seen[vm.Domain] = true
 		for _, r := range chooseRunners(ranked, vm.Domain, maxPower) {
-			fleetRunners[r.ID] = true
+			runners[r.ID] = true
 		}
 	}
-	d.fleetRunners = len(fleetRunners)
-	d.isRunner = fleetRunners[d.Self.ID]
-	d.runners = chooseRunners(ranked, d.Self.Domain, maxPower)
+	return runners
 }
 
 // strongFraction is the minimum power of a strong VM, as a fraction of that of
