--- a/internal/leverengine/attempt.go
+++ b/internal/leverengine/attempt.go
@@ -79,7 +79,7 @@
 func (a *attempt) header() http.Header {
 	a.sent.Store(true)
 	e := a.fanout.engine
-	return e.Protocol.AttemptHeaders(e.ending.limit(a.fanout.deadline).Sub(e.Timer.Now()), a.upstream())
+	return e.Protocol.AttemptHeaders(e.ending.Limit(a.fanout.deadline).Sub(e.Timer.Now()), a.upstream())
 }
 
 // checkHead parses the head of a response and rejects one that belongs to
--- a/internal/leverengine/ending.go
+++ b/internal/leverengine/ending.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverdirectory"
@@ -20,58 +19,17 @@
 	endingReason = "the VM stops"
 )
 
-// ending is the end of a VM's work. The zero value has none. It is safe for
-// concurrent use.
-type ending struct {
-	mu     sync.Mutex
-	at     time.Time
-	ctx    context.Context
-	cancel context.CancelFunc
-}
-
-// context returns a context that is done at the end.
-func (n *ending) context() context.Context {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.init()
-}
-
-// init returns the context. The caller holds the mutex.
-func (n *ending) init() context.Context {
-	if n.ctx == nil {
-		n.ctx, n.cancel = context.WithCancel(context.Background())
-	}
-	return n.ctx
-}
-
-// limit returns the end if it is known and before t, otherwise t.
-func (n *ending) limit(t time.Time) time.Time {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.at.IsZero() || t.Before(n.at) {
-		return t
-	}
-	return n.at
-}
-
 // EndBy makes all requests end by a time, with the answer that they have then.
 // Requests that arrive before it but are unlikely to be answered by then are
 // refused.
-func (e *Engine) EndBy(at time.Time) {
-	n := &e.ending
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.at = at
-	n.init()
-	e.Timer.RunAfter(at.Sub(e.Timer.Now()), n.cancel)
-}
+func (e *Engine) EndBy(at time.Time) { e.ending.Set(e.Timer, at) }
 
 // refuseLate returns the outcome of a request that is unlikely to be answered
 // before the VM's work ends, and nil otherwise.
 func (e *Engine) refuseLate(req *Request, r *leverdirectory.Route) *Outcome {
 	now := e.Timer.Now()
 	deadline := req.deadline(r)
-	end := e.ending.limit(deadline)
+	end := e.ending.Limit(deadline)
 	if end.Equal(deadline) {
 		return nil
 	}
@@ -95,11 +53,11 @@
 // the end is known, the other VM gets it as the caller's timeout.
 func (e *Engine) delegateUntilEnd(ctx context.Context, d Delegate, req *Request, view *leverdirectory.View, r *leverdirectory.Route) (*Outcome, bool) {
 	deadline, timeout := req.deadline(r), req.CallerTimeout
-	if at := e.ending.limit(deadline); at.Before(deadline) {
+	if at := e.ending.Limit(deadline); at.Before(deadline) {
 		req.CallerTimeout = max(at.Sub(req.Received)-delegatedMargin, time.Millisecond)
 		defer func() { req.CallerTimeout = timeout }()
 	}
-	end := e.ending.context()
+	end := e.ending.Context()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(end, cancel)()
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -61,7 +61,7 @@
 	limiters      limiters
 	newConnResets newConnResets
 	inFlight      atomic.Int64
-	ending        ending
+	ending        levertimer.End
 	// blocked wakes the requests with attempts that wait when an upstream takes no
 	// more requests.
 	blocked broadcast
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -191,7 +191,7 @@
 	if f.ended != nil {
 		defer close(f.ended)
 	}
-	end := f.engine.ending.context().Done()
+	end := f.engine.ending.Context().Done()
 	var finished <-chan struct{}
 	if f.sub != nil {
 		finished = f.sub.request.Finished
--- a/internal/leverquery/engine.go
+++ b/internal/leverquery/engine.go
@@ -46,7 +46,7 @@
 	mu         sync.Mutex
 	minLatency map[leverid.ServiceID]*minLatency
 	inFlight   atomic.Int64
-	ending     ending
+	ending     levertimer.End
 }
 
 // InFlight returns the number of requests in progress.
--- a/internal/leverquery/once.go
+++ b/internal/leverquery/once.go
@@ -81,7 +81,7 @@
 func (e *Engine) claim(ctx context.Context, req *Request, id leverclaim.ID, n leverclaim.Nonce) *Refusal {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	defer context.AfterFunc(e.ending.context(), cancel)()
+	defer context.AfterFunc(e.ending.Context(), cancel)()
 	err := e.Claims.Claim(ctx, id, n)
 	switch {
 	case err == nil:
