--- a/internal/levernode/life.go
+++ b/internal/levernode/life.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverbudget"
-	"arbutuslever.dev/lever/internal/leverdelegate"
 	"arbutuslever.dev/lever/internal/leverevent"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/levermsg"
@@ -23,9 +22,6 @@
 	listWait = 1500 * time.Millisecond
 	// listPollInterval is how often it looks for the list.
 	listPollInterval = 50 * time.Millisecond
-	// shareLease is how long this VM's share of the budget is valid without a path
-	// to the store. Others learn of a change of the list in less time.
-	shareLease = 4 * time.Second
 	// probeInterval is the interval of the probes of peers that are down.
 	probeInterval = 500 * time.Millisecond
 	// probeTimeout limits such a probe.
@@ -94,7 +90,8 @@
 // attempts, and connects it to the VMs that run its branches.
 func (n *Node) runShares(ctx context.Context) {
 	for {
-		n.renewShare()
+		fanout, _ := n.shares()
+		n.budget.SetShare(fanout)
 		n.branches.Connect()
 		if !n.timer.Sleep(ctx, probeInterval) {
 			return
@@ -102,21 +99,6 @@
 	}
 }
 
-// renewShare sets this VM's share of the budget for extra attempts as long as it has
-// a path to the store and its own entry is listed. Otherwise the number of VMs may
-// have grown without its knowledge, or the others may not count this one.
-func (n *Node) renewShare() {
-	list := n.members.List()
-	if !n.mirror.Current() || !slices.ContainsFunc(list, func(vm levermsg.VM) bool { return vm.ID == n.opts.Self.ID }) {
-		return
-	}
-	share, spread := n.branches.ExtraShare(list)
-	if !spread {
-		share = leverdelegate.ExtraShare(n.opts.Self.ID, list)
-	}
-	n.budget.SetShare(share, n.timer.Now())
-}
-
 // runProbes probes the peers that are down, and removes the entries of those
 // that stay unresponsive.
 func (n *Node) runProbes(ctx context.Context) {
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -137,7 +137,7 @@
 		opts: o, log: o.Log.For("node"), timer: &levertimer.Service{},
 		events: &leverevent.Timeline{VM: o.Self.ID}, counters: &leverevent.Counters{},
 		members: levermember.NewView(o.Self), mirror: leverrelay.NewMirror(),
-		budget:   &leverbudget.Budget{Terms: o.Terms, Lease: shareLease},
+		budget:   &leverbudget.Budget{Terms: o.Terms},
 		register: make(chan struct{}, 1), crashes: make(chan []levercrash.Entry, crashQueueSize),
 	}
 	n.pauses.Timer = n.timer
