internal/leverengine: a waiting request is not sent to an address known to be another's

Cause: since calls wait by service, one that waited chose among all avoided upstreams as soon as none was sound. The busy real one had no room, and was avoided as slow; the address that another upstream had taken had room. Both counted as avoided.

Change: avoidance has degrees, and a waiting call chooses only among the upstreams that are avoided the least. TestWaitingRequestsReachNoStranger failed before (4 arrivals after the VM knew) and passes.

--- a/internal/leverengine/place.go
+++ b/internal/leverengine/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverdirectory"
+	"arbutuslever.dev/lever/internal/leverhealth"
 	"arbutuslever.dev/lever/internal/leverid"
 )
 
@@ -75,8 +76,9 @@
 // MaxConnections returns the connection limit of each candidate.
 func (a *attempt) MaxConnections() int { return a.fanout.engine.connectionLimit(a.candidates.service) }
 
-// Choose returns the best candidate that has room. Those that are avoided are left
-// out as long as there are others.
+// Choose returns the best candidate that has room, of those that are avoided the
+// least: waiting for a slow one is better than a call at an address where another
+// upstream responds.
 func (a *attempt) Choose(hasRoom func(*leverdirectory.Upstream) bool) *leverdirectory.Upstream {
 	f := a.fanout
 	now := f.engine.Timer.Now()
@@ -84,16 +86,13 @@
 	if !slices.ContainsFunc(f.engine.Directory.View().Upstreams(a.candidates.service), usable) {
 		return nil
 	}
-	sound := false
+	health, least := f.engine.Health, leverhealth.AvoidUnreachable
+	f.pick(&a.candidates, now, func(u *leverdirectory.Upstream) bool {
+		least = min(least, health.Avoidance(u, f.class, now))
+		return false
+	})
 	u, _ := f.pick(&a.candidates, now, func(u *leverdirectory.Upstream) bool {
-		if f.engine.Health.Avoided(u, f.class, now) {
-			return false
-		}
-		sound = true
-		return hasRoom(u)
+		return health.Avoidance(u, f.class, now) == least && hasRoom(u)
 	})
-	if u == nil && !sound {
-		u, _ = f.pick(&a.candidates, now, hasRoom)
-	}
 	return u
 }
--- a/internal/leverhealth/tracker.go
+++ b/internal/leverhealth/tracker.go
@@ -346,13 +346,31 @@
 	return d
 }
 
-// Avoided reports whether the upstream is unreachable or unresponsive, so that it is
-// used only if there is no other.
-func (t *Tracker) Avoided(u *leverdirectory.Upstream, c Class, now time.Time) bool {
+// Avoidance says whether an upstream is used only if there is no better one.
+type Avoidance uint8
+
+// The degrees of avoidance, in ascending order.
+const (
+	NotAvoided Avoidance = iota
+	// AvoidUnresponsive upstreams have calls in flight that are unusually slow.
+	AvoidUnresponsive
+	// AvoidUnreachable upstreams can't be connected to, or another one responds at
+	// their address.
+	AvoidUnreachable
+)
+
+// Avoidance returns the degree to which an upstream is avoided.
+func (t *Tracker) Avoidance(u *leverdirectory.Upstream, c Class, now time.Time) Avoidance {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(u, now)
-	return now.Before(s.avoidUntil) || s.unresponsive(t.slowAfter(c), now)
+	switch {
+	case now.Before(s.avoidUntil):
+		return AvoidUnreachable
+	case s.unresponsive(t.slowAfter(c), now):
+		return AvoidUnresponsive
+	}
+	return NotAvoided
 }
 
 // Usable reports whether an estimated time is free of the penalties for
