--- a/internal/leverdirectory/config.go
+++ b/internal/leverdirectory/config.go
@@ -55,6 +55,8 @@
 	// reached LeastCoverage returns its answer by then.
 	Objective time.Duration
 	Rank      leverid.Rank
+	// Public routes need no key.
+	Public bool
 	// Room names the capacity that routes with the same upstreams share. If it
 	// is empty, the first service names it.
 	Room leverid.ServiceID
@@ -98,17 +100,24 @@
 	Routes   []Route
 	Services map[leverid.ServiceID]Service
 	Limits   Limits
+	// KeysRequired is set if only callers with the key of an organisation may use the
+	// routes that are not public.
+	KeysRequired  bool
+	Organisations []Organisation
 	// Attachment is an encoded object of the store if this Config stands for one
 	// of the objects that a configuration is composed of.
 	Attachment []byte
 
 	byHost map[string][]*Route
 	shards map[leverid.ServiceID]bool
+	byKey  map[KeyDigest]*Organisation
+	byName map[leverid.OrganisationID]*Organisation
 }
 
-// index groups the routes by host, the longest prefix first, and collects the
-// shards.
+// index groups the routes by host, the longest prefix first, the organisations by key
+// and by name, and collects the shards.
 func (c *Config) index() {
+	c.indexOrganisations()
 	c.byHost = make(map[string][]*Route)
 	c.shards = make(map[leverid.ServiceID]bool)
 	for i := range c.Routes {
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -58,6 +58,8 @@
 	Delegate Delegate
 	// Brancher, if set, may run parts of fan-outs on other VMs.
 	Brancher Brancher
+	// Allowance, if set, limits the requests of organisations.
+	Allowance Allowance
 
 	splitter splitter
 	// answerLag is the time from the decision on an answer until it is written.
@@ -121,32 +123,61 @@
 // Run runs a request until it has an outcome or ctx, the caller's context, is
 // done.
 func (e *Engine) Run(ctx context.Context, req *Request) *Outcome {
-	return e.run(ctx, req, e.Delegate)
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	view, route, out := e.route(req)
+	if out != nil {
+		return e.recordUnrouted(req, view, out)
+	}
+	o, out := e.authorize(req, view.Config, route)
+	if out != nil {
+		return e.recordUnrouted(req, view, out)
+	}
+	route = req.Overrides.apply(route)
+	if out := e.refuseLate(req, route); out != nil {
+		return out
+	}
+	if out := e.takeAllowance(ctx, o); out != nil {
+		return e.recordOverAllowance(req, view, route, out)
+	}
+	out = e.run(ctx, req, view, route, e.Delegate)
+	e.returnAllowance(o, out)
+	return out
 }
 
 // RunLocally runs a request that another VM has delegated to this one.
 func (e *Engine) RunLocally(ctx context.Context, req *Request) *Outcome {
-	return e.run(ctx, req, nil)
-}
-
-func (e *Engine) run(ctx context.Context, req *Request, d Delegate) *Outcome {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
+	view, route, out := e.route(req)
+	if out != nil {
+		return e.recordUnrouted(req, view, out)
+	}
+	route = req.Overrides.apply(route)
+	if out := e.refuseLate(req, route); out != nil {
+		return out
+	}
+	return e.run(ctx, req, view, route, nil)
+}
+
+// route returns the configuration that a request pins and its route, or the outcome of a
+// request that can't be routed.
+func (e *Engine) route(req *Request) (*leverdirectory.View, *leverdirectory.Route, *Outcome) {
 	view := e.Directory.View()
 	if !view.Usable() {
-		return e.recordUnrouted(req, view, &Outcome{Verdict: NotReady, RetryAfter: defaultRetryAfter, Reason: "configuration or upstream list not loaded yet"})
+		return view, nil, &Outcome{Verdict: NotReady, RetryAfter: defaultRetryAfter, Reason: "configuration or upstream list not loaded yet"}
 	}
 	route := view.Config.Route(req.Host, req.Path)
 	if route == nil {
-		return e.recordUnrouted(req, view, e.unroutable())
+		return view, nil, e.unroutable()
 	}
 	if reason := req.Overrides.check(route); reason != "" {
-		return e.recordUnrouted(req, view, &Outcome{Verdict: NotRun, RetryAfter: defaultRetryAfter, Reason: reason})
-	}
-	route = req.Overrides.apply(route)
-	if out := e.refuseLate(req, route); out != nil {
-		return out
+		return view, nil, &Outcome{Verdict: NotRun, RetryAfter: defaultRetryAfter, Reason: reason}
 	}
+	return view, route, nil
+}
+
+func (e *Engine) run(ctx context.Context, req *Request, view *leverdirectory.View, route *leverdirectory.Route, d Delegate) *Outcome {
 	if d != nil && len(route.Shards) > 0 && (e.Brancher == nil || !e.Brancher.Leads(route, view)) {
 		if out, ok := e.delegateUntilEnd(ctx, d, req, view, route); ok {
 			return out
@@ -178,6 +209,15 @@
 	return out
 }
 
+// recordOverAllowance logs and counts a request that the allowance of its organisation
+// does not permit.
+func (e *Engine) recordOverAllowance(req *Request, view *leverdirectory.View, route *leverdirectory.Route, out *Outcome) *Outcome {
+	e.Metrics.Add(levermetric.Name("requests", "verdict", out.Verdict.String(), "rank", route.Rank.String()), 1)
+	e.Log.Info("a request exceeds an allowance", "id", req.ID, "verdict", out.Verdict, "route", route.Name, "organisation", req.Organisation,
+		"config", view.Config.Version, "retry-after", out.RetryAfter, "reason", out.Reason)
+	return out
+}
+
 // unroutable returns the outcome of a request that matches no route: NoRoute if
 // the configuration is up to date, otherwise NotReady.
 func (e *Engine) unroutable() *Outcome {
--- a/internal/leverengine/forward.go
+++ b/internal/leverengine/forward.go
@@ -23,6 +23,8 @@
 	Age           time.Duration `msgpack:"a"`
 	PriorAttempts int           `msgpack:"n"`
 	Overrides     *Overrides    `msgpack:"x,omitempty"`
+	// Organisation is the one that the first VM has found for the caller's key.
+	Organisation leverid.OrganisationID `msgpack:"o,omitempty"`
 }
 
 // Forward returns the message for a request that is sent at the given time.
@@ -30,6 +32,7 @@
 	return Forwarded{
 		ID: r.ID, Method: r.Method, Host: r.Host, URI: r.URI, Path: r.Path, Header: r.Header, Body: r.Body,
 		CallerTimeout: r.CallerTimeout, Age: now.Sub(r.Received), PriorAttempts: r.PriorAttempts, Overrides: r.Overrides,
+		Organisation: r.Organisation,
 	}
 }
 
@@ -38,5 +41,6 @@
 	return &Request{
 		ID: f.ID, Method: f.Method, Host: f.Host, URI: f.URI, Path: f.Path, Header: f.Header, Body: f.Body,
 		CallerTimeout: f.CallerTimeout, Received: now.Add(-f.Age), PriorAttempts: f.PriorAttempts, Overrides: f.Overrides,
+		Organisation: f.Organisation,
 	}
 }
--- a/internal/leverengine/request.go
+++ b/internal/leverengine/request.go
@@ -29,6 +29,15 @@
 	Received      time.Time
 	// CallerRTT is the known round-trip time between the caller and this VM.
 	CallerRTT time.Duration
+	// Key is the digest of the key that the caller presented.
+	Key leverdirectory.KeyDigest
+	// Organisation is the one that holds Key, once the engine has looked it up. It is
+	// empty if the configuration has none, or if the route is public.
+	Organisation leverid.OrganisationID
+	// SetOrganisation, if set, removes the caller's key and its own claims of an
+	// organisation from the headers, and adds the organisation unless it is empty. It
+	// is called if the configuration requires keys.
+	SetOrganisation func(h http.Header, o leverid.OrganisationID)
 	// PriorAttempts is the number of attempts that other VMs may already have
 	// made for each part.
 	PriorAttempts int
@@ -72,6 +81,16 @@
 	return &own
 }
 
+// withRank returns the overrides with another rank. o may be nil.
+func (o *Overrides) withRank(r leverid.Rank) *Overrides {
+	if o == nil {
+		return &Overrides{Rank: r}
+	}
+	own := *o
+	own.Rank = r
+	return &own
+}
+
 // deadline returns when the caller or the route's timeout ends the request.
 func (r *Request) deadline(route *leverdirectory.Route) time.Time {
 	wait := route.Timeout
@@ -112,9 +131,14 @@
 	Late
 	// CallerGone means that the caller disconnected.
 	CallerGone
+	// Unauthorized means that the caller presented no key of an organisation.
+	Unauthorized
+	// OverAllowance means that the organisation has used up its allowance. The request
+	// has not run.
+	OverAllowance
 )
 
-var verdictNames = [...]string{"passed", "merged", "no-route", "not-ready", "not-run", "may-have-run", "late", "left"}
+var verdictNames = [...]string{"passed", "merged", "no-route", "not-ready", "not-run", "may-have-run", "late", "left", "unauthorized", "over-allowance"}
 
 // String returns the name that logs and metrics use for the verdict.
 func (v Verdict) String() string { return verdictNames[v] }
--- a/internal/leverengine/subfanout.go
+++ b/internal/leverengine/subfanout.go
@@ -66,7 +66,7 @@
 		report(&BranchReport{Final: true, Reason: reason})
 		return
 	}
-	f := e.newFanout(r.Request, view, route, r)
+	f := e.newFanout(r.Request, view, r.Overrides.apply(route), r)
 	f.sub.report = report
 	out := f.runGuarded(ctx)
 	if ctx.Err() == nil {
--- a/internal/leverid/id.go
+++ b/internal/leverid/id.go
@@ -16,6 +16,9 @@
 // Domain identifies a failure domain.
 type Domain string
 
+// OrganisationID is the name of an organisation, whose callers share an allowance.
+type OrganisationID string
+
 // ServiceID identifies a search service.
 type ServiceID string
 
