internal/levertimer, levergate, arbutuslever: the grace period counts a pause with a pending signal

A process that is frozen receives a SIGTERM only when it resumes, and counted its grace period from then on, so that it was killed during its planned stop. The kernel keeps no time of a pending signal. levertimer.SignalClock therefore notes by CLOCK_BOOTTIME, which counts a suspended VM and is never set, every 100 ms that the process runs. A signal that arrives as a gap of more than 200 ms ends counts from the last tick before the gap. The process can't have been sent the signal more than a grace period ago, because it was not killed, so a pause longer than that leaves no time and no more. A stop without a gap takes the time it did.

With the time left, the stop goes as before: with none left the listener closes at once, requests in flight end with the answer that they have, and those that are read still get one. Both programs (the platform's and the native one) do so; "planned stop started" logs the time as "pending".

--- a/cmd/arbutuslever/daemon.go
+++ b/cmd/arbutuslever/daemon.go
@@ -51,6 +51,8 @@
 	peerListener   net.Listener
 	http           *http.Server
 	conns          leverdrain.Tracker
+	// pending is how long the stop signal may have been pending before it was received.
+	pending time.Duration
 }
 
 // newDaemon opens the listeners before anything is started, so that start-up
@@ -130,7 +132,7 @@
 	d.node.Start(d.peerListener)
 	go d.runServer()
 	d.log.For("daemon").Info("process started", "callers", d.settings.CallerListen, "peers", d.settings.PeerListen)
-	sig.await(&reloader{Signalled: d.reloadKeys})
+	d.pending = sig.await(&reloader{Signalled: d.reloadKeys})
 	return d.stop()
 }
 
@@ -166,9 +168,9 @@
 	l := d.log.For("daemon")
 	sys := d.node.Document().System
 	wait, limit := milliseconds(sys.StopWaitMS), milliseconds(sys.StopLimitMS)
-	closeAt := time.Now().Add(wait)
+	closeAt := time.Now().Add(wait - d.pending)
 	at := func(fraction float64) time.Time { return closeAt.Add(time.Duration(fraction * float64(limit))) }
-	l.Info("planned stop started", "in-flight", d.node.Engine().InFlight(), "wait", wait, "limit", limit)
+	l.Info("planned stop started", "in-flight", d.node.Engine().InFlight(), "wait", wait, "limit", limit, "pending", d.pending.Round(time.Millisecond))
 	d.node.EndBy(at(answerFraction))
 	d.node.Leave()
 	time.Sleep(time.Until(closeAt))
--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -179,13 +179,13 @@
 		"domain", settings.Zone, "power", settings.Power())
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
-	sig.await(&reloader{Signalled: e.reloadSignalled, Ticked: e.reload, Ticks: ticker.C})
-	e.stop()
+	e.stop(sig.await(&reloader{Signalled: e.reloadSignalled, Ticked: e.reload, Ticks: ticker.C}))
 	return nil
 }
 
-func (e *entry) stop() {
-	e.gate.Stop(time.Duration(e.settings.Load().Bounds.GraceS * float64(time.Second)))
+// stop ends the process. The signal has been pending for up to the given time.
+func (e *entry) stop(pending time.Duration) {
+	e.gate.StopPending(time.Duration(e.settings.Load().Bounds.GraceS*float64(time.Second)), pending)
 	e.sink.Close()
 }
 
--- a/cmd/arbutuslever/signals.go
+++ b/cmd/arbutuslever/signals.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"time"
 
+	"arbutuslever.dev/lever/internal/levertimer"
+
 	"github.com/juju/errors"
 )
 
@@ -17,6 +19,7 @@
 // that arrives while one of its kind is pending counts as the same.
 type signals struct {
 	stops, reloads chan os.Signal
+	clock          levertimer.SignalClock
 }
 
 // notifySignals makes the process receive its signals. A write to a broken
@@ -52,12 +55,23 @@
 func (p *preparation) run() { p.done <- p.f() }
 
 // await reloads the settings until a stop signal arrives. It doesn't wait for a
-// reload in progress.
-func (s *signals) await(r *reloader) {
+// reload in progress. It returns how long the signal may have been pending while the
+// process did not run.
+func (s *signals) await(r *reloader) time.Duration {
 	r.signals, r.done = s.reloads, make(chan struct{})
 	go r.run()
-	<-s.stops
-	close(r.done)
+	defer close(r.done)
+	ticker := time.NewTicker(levertimer.SignalTick)
+	defer ticker.Stop()
+	s.clock.Tick()
+	for {
+		select {
+		case <-s.stops:
+			return s.clock.Pending()
+		case <-ticker.C:
+			s.clock.Tick()
+		}
+	}
 }
 
 // reloader reloads the settings, one reload at a time. Its exported fields must
--- a/cmd/arbutuslever/signals_test.go
+++ b/cmd/arbutuslever/signals_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"os"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"arbutuslever.dev/lever/internal/levertimer"
+
 	"github.com/juju/errors"
 	"github.com/matryer/is"
 )
@@ -65,3 +68,29 @@
 		time.Sleep(time.Hour)
 	})
 }
+
+// TestStopSignalDuringAPause stops the process's clock of uptime, with a stop signal in
+// the pause. The process must count its grace period from the start of the pause; it was
+// killed during its planned stop.
+func TestStopSignalDuringAPause(t *testing.T) {
+	for name, asleep := range map[string]time.Duration{"no pause": 0, "a pause": 2800 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				began := time.Now()
+				var slept atomic.Int64
+				s := &signals{stops: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1)}
+				s.clock.Boot = func() time.Duration { return time.Since(began) + time.Duration(slept.Load()) }
+				pending := make(chan time.Duration, 1)
+				go func() { pending <- s.await(&reloader{}) }()
+				time.Sleep(time.Second + 30*time.Millisecond)
+				slept.Store(int64(asleep))
+				send(s.stops, syscall.SIGTERM)
+				got := <-pending
+				is.True(got >= asleep)
+				is.True(got <= asleep+levertimer.SignalTick)
+				is.True(asleep > 0 || got == 0)
+			})
+		})
+	}
+}
--- a/internal/levergate/gate.go
+++ b/internal/levergate/gate.go
@@ -74,10 +74,17 @@
 // closes the callers' connections as they become idle and returns within grace.
 // Each request that was read is answered: those that can't be served in the time
 // left are refused, and those still in flight near its end get their final answer.
-func (g *Gate) Stop(grace time.Duration) {
+func (g *Gate) Stop(grace time.Duration) { g.StopPending(grace, 0) }
+
+// StopPending is Stop after a signal that may have been pending for some time, which
+// is part of grace. The process is killed at the end of grace, so a stop that is too
+// early is better than one that is cut off.
+func (g *Gate) StopPending(grace, pending time.Duration) {
 	started := time.Now()
-	at := func(fraction float64) time.Time { return started.Add(time.Duration(fraction * float64(grace))) }
-	g.Log.Info("planned stop started", "in-flight", g.Node.Busy(), "grace", grace)
+	at := func(fraction float64) time.Time {
+		return started.Add(time.Duration(fraction*float64(grace)) - pending)
+	}
+	g.Log.Info("planned stop started", "in-flight", g.Node.Busy(), "grace", grace, "pending", pending.Round(time.Millisecond))
 	g.Node.Leave()
 	g.Node.EndBy(at(answerFraction))
 	time.Sleep(time.Until(at(drainFraction)))
