platform/standin, cmd/leversoak: organisations, their keys and limits, load headers, evacuated zones

The soak could not check what a deployment with organisations is promised. The stand-in's configuration now holds tenants, and its upstreams record the tenant of each arrival and whether it carried a key, and can state their load. The checker knows which tenant held a key when, and which changes the VM of a request had to know: those that are older than configApplyMs, not counting the times in which it was frozen or had no store. It reports a key at an upstream, a wrong or claimed tenant, a run with a key that was revoked, moved or never was, a 401 for a valid key, and more arrivals in 5 s than a limit allows (each request counted once); in calm also a 429 for callers within their limit. No VM may log a key.

--- a/cmd/leversoak/caller.go
+++ b/cmd/leversoak/caller.go
@@ -43,12 +43,16 @@
 	number     int
 	rng        *rand.Rand
 	connection standin.Connection
+	// organisation is the caller's one, or empty.
+	organisation string
+	// until, if set, is when the caller ends.
+	until time.Time
 }
 
 func (c *caller) run(wg *sync.WaitGroup) {
 	defer wg.Done()
 	defer c.connection.Close()
-	for i := c.number; !c.soak.stopping.Load(); i++ {
+	for i := c.number; !c.soak.stopping.Load() && (c.until.IsZero() || time.Now().Before(c.until)); i++ {
 		// An error means that the VM is down. Send tries again.
 		_ = c.connection.Open()
 		time.Sleep(c.pause())
@@ -58,6 +62,9 @@
 		}
 		id := fmt.Sprintf("s%d-%06d", c.soak.seed, c.soak.nextID.Add(1))
 		process := c.vm.process()
+		var key string
+		key, c.connection.Header = c.header()
+		calm := c.soak.calm.Load()
 		x := c.connection.Send(k.method, id, k.path+id, k.timeout)
 		if c.vm.process() == process && !c.vm.pausedSince(x.Sent) {
 			x.Process = process
@@ -69,6 +76,8 @@
 		x.MustEnd = c.soak.options.Planned || c.soak.options.Stops
 		x.Stopped, x.Grace = c.vm.stoppedBefore(x.Sent.Add(x.Took))
 		x.FaultyUpstreams = c.soak.options.Stops
+		x.Key, x.Calm = key, calm
+		x.Current, x.FleetCurrent = c.soak.knownBefore(c.vm, x.Sent), c.soak.knownBefore(nil, x.Sent)
 		c.soak.sim.Checker.Record(x)
 	}
 }
--- a/cmd/leversoak/fault.go
+++ b/cmd/leversoak/fault.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -172,9 +173,21 @@
 	case !o.Planned:
 		kinds = slices.Sorted(maps.Keys(injectors))
 	}
-	rng := rand.New(rand.NewPCG(seed, seed))
+	out := randomFaults(rand.New(rand.NewPCG(seed, seed)), kinds, o.Duration)
+	if o.hasOrganisations(seed) {
+		out = append(out, organisationFaults(seed, o)...)
+		slices.SortStableFunc(out, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
+		for i := range out {
+			out[i].number = i
+		}
+	}
+	return out
+}
+
+// randomFaults returns faults of some kinds, ordered by time.
+func randomFaults(rng *rand.Rand, kinds []string, length time.Duration) []fault {
 	var out []fault
-	for at := time.Second; at < o.Duration; at += time.Duration(rng.ExpFloat64() * float64(meanFaultInterval)) {
+	for at := time.Second; at < length; at += time.Duration(rng.ExpFloat64() * float64(meanFaultInterval)) {
 		out = append(out, fault{
 			number: len(out), at: at, kind: kinds[rng.IntN(len(kinds))], target: rng.IntN(targetRange),
 			duration: minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration))),
--- a/cmd/leversoak/main.go
+++ b/cmd/leversoak/main.go
@@ -15,24 +15,27 @@
 )
 
 type options struct {
-	Program   string        `long:"program" description:"program to run" default:"target/arbutuslever"`
-	Seed      uint64        `long:"seed" description:"first seed of the faults" default:"1"`
-	Seeds     int           `long:"seeds" description:"number of consecutive seeds to run" default:"1"`
-	VMs       int           `long:"vms" description:"number of VMs" default:"5"`
-	Shards    int           `long:"shards" description:"number of shards" default:"6"`
-	Callers   int           `long:"callers" description:"number of callers per VM" default:"4"`
-	GraceS    int           `long:"grace" description:"grace period of a process that is terminated, in seconds" default:"3"`
-	Planned   bool          `long:"planned" description:"inject planned work only: stops, reloads, configurations and drains"`
-	Stops     bool          `long:"stops" description:"inject stops of VMs and faults of upstreams only"`
-	Blocks    bool          `long:"blocks" description:"inject upstreams that leave or ask for pauses, stops of VMs and sheds only"`
-	Link      time.Duration `long:"link" description:"delay each way between callers and VMs, through a balancer that closes both sides when one closes"`
-	VMProcs   int           `long:"vm-procs" description:"GOMAXPROCS of the VMs, 0 for the default"`
-	KeepLogs  bool          `long:"keep-logs" description:"keep the VM logs of seeds that pass, too"`
-	Duration  time.Duration `long:"length" description:"time during which faults are injected" default:"12s"`
-	Faults    string        `long:"faults" description:"numbers of the seed's faults to inject, like 0,3; all if empty"`
-	RulesOnly bool          `long:"rules-only" description:"check only answers, runs and budgets, not times"`
-	Shrink    bool          `long:"shrink" description:"reduce the faults of a failed seed to those that still break a rule"`
-	Logs      string        `long:"logs" description:"directory for the VM logs of failed seeds" default:"soak-logs"`
+	Program       string        `long:"program" description:"program to run" default:"target/arbutuslever"`
+	Seed          uint64        `long:"seed" description:"first seed of the faults" default:"1"`
+	Seeds         int           `long:"seeds" description:"number of consecutive seeds to run" default:"1"`
+	VMs           int           `long:"vms" description:"number of VMs" default:"5"`
+	Shards        int           `long:"shards" description:"number of shards" default:"6"`
+	Callers       int           `long:"callers" description:"number of callers per VM" default:"4"`
+	GraceS        int           `long:"grace" description:"grace period of a process that is terminated, in seconds" default:"3"`
+	Planned       bool          `long:"planned" description:"inject planned work only: stops, reloads, configurations and drains"`
+	Stops         bool          `long:"stops" description:"inject stops of VMs and faults of upstreams only"`
+	Blocks        bool          `long:"blocks" description:"inject upstreams that leave or ask for pauses, stops of VMs and sheds only"`
+	Limits        bool          `long:"limits" description:"give organisations limits"`
+	Evacuations   bool          `long:"evacuations" description:"evacuate failure domains, in seeds with organisations"`
+	Organisations string        `long:"organisations" description:"let callers use keys of organisations; auto does so for every fourth seed" choice:"auto" choice:"on" choice:"off" default:"auto"`
+	Link          time.Duration `long:"link" description:"delay each way between callers and VMs, through a balancer that closes both sides when one closes"`
+	VMProcs       int           `long:"vm-procs" description:"GOMAXPROCS of the VMs, 0 for the default"`
+	KeepLogs      bool          `long:"keep-logs" description:"keep the VM logs of seeds that pass, too"`
+	Duration      time.Duration `long:"length" description:"time during which faults are injected" default:"12s"`
+	Faults        string        `long:"faults" description:"numbers of the seed's faults to inject, like 0,3; all if empty"`
+	RulesOnly     bool          `long:"rules-only" description:"check only answers, runs and budgets, not times"`
+	Shrink        bool          `long:"shrink" description:"reduce the faults of a failed seed to those that still break a rule"`
+	Logs          string        `long:"logs" description:"directory for the VM logs of failed seeds" default:"soak-logs"`
 }
 
 func main() {
--- a/cmd/leversoak/soak.go
+++ b/cmd/leversoak/soak.go
@@ -45,11 +45,19 @@
 	started  time.Time
 	nextID   atomic.Int64
 	stopping atomic.Bool
+	// calm is set from when the fleet has recovered from the last fault on.
+	calm atomic.Bool
 
 	mu         sync.Mutex
 	events     []string
 	violations []string
 	version    int
+	// routeVersion is the last version that has added a route.
+	routeVersion int
+	// keys are all that each organisation has had, keyCount is their number.
+	keys         map[string][]string
+	keyCount     int
+	disturbances []*disturbance
 }
 
 // report is the result of a run.
@@ -80,7 +88,7 @@
 
 // runOnce starts a new fleet, runs the faults on it and stops it.
 func runOnce(o *options, seed uint64, faults []fault) *report {
-	s := &soak{options: o, seed: seed, proxies: make(map[string]*proxy), started: time.Now()}
+	s := &soak{options: o, seed: seed, proxies: make(map[string]*proxy), keys: make(map[string][]string), started: time.Now()}
 	r := &report{seed: seed, faults: faults}
 	dir, err := os.MkdirTemp("", "leversoak")
 	if err != nil {
@@ -133,6 +141,12 @@
 		s.ids = append(s.ids, u.ID)
 	}
 	slices.Sort(s.ids)
+	s.sim.Checker.ConfigApply = configApply
+	if s.options.hasOrganisations(s.seed) {
+		if err := s.setUpOrganisations(); err != nil {
+			return err
+		}
+	}
 	var ports [3]int
 	for i := range ports {
 		if ports[i], err = leverport.FindFree(0); err != nil {
@@ -140,7 +154,7 @@
 		}
 	}
 	for n := range s.options.VMs {
-		v := &vm{n: n, program: s.options.Program, dir: dir, ports: ports, graceS: s.options.GraceS, procs: s.options.VMProcs, logf: s.logf}
+		v := &vm{n: n, program: s.options.Program, dir: dir, ports: ports, graceS: s.options.GraceS, procs: s.options.VMProcs, bounds: s.bounds(), logf: s.logf}
 		if v.store, err = newProxy("127.0.0.1:0"); err != nil {
 			return err
 		}
@@ -180,10 +194,9 @@
 	var callers, running sync.WaitGroup
 	for _, v := range s.vms {
 		for i := range s.options.Callers {
-			c := &caller{soak: s, vm: v, number: i, rng: rand.New(rand.NewPCG(s.seed, uint64(v.n*s.options.Callers+i)))}
-			c.connection.Address = v.callerAddress()
-			if i%slowReaderEvery == 1 {
-				c.connection.ReadBuffer, c.connection.ReadPause = slowReadBuffer, slowReadPause
+			c := s.newCaller(v, i)
+			if s.options.hasOrganisations(s.seed) {
+				c.organisation = fmt.Sprintf("org%d", (v.n+i)%organisationCount)
 			}
 			callers.Add(1)
 			go c.run(&callers)
@@ -198,6 +211,7 @@
 	}
 	running.Wait()
 	time.Sleep(recoveryTime)
+	s.calm.Store(true)
 	recovered := time.Now()
 	time.Sleep(observeTime)
 	s.stopping.Store(true)
@@ -207,6 +221,16 @@
 	}
 }
 
+// newCaller returns a caller of a VM.
+func (s *soak) newCaller(v *vm, number int) *caller {
+	c := &caller{soak: s, vm: v, number: number, rng: rand.New(rand.NewPCG(s.seed, uint64(v.n*s.options.Callers+number)))}
+	c.connection.Address = v.callerAddress()
+	if number%slowReaderEvery == 1 {
+		c.connection.ReadBuffer, c.connection.ReadPause = slowReadBuffer, slowReadPause
+	}
+	return c
+}
+
 // faultRunner injects one fault concurrently with others.
 type faultRunner struct {
 	soak  *soak
@@ -215,9 +239,9 @@
 
 func (r *faultRunner) run(wg *sync.WaitGroup) {
 	defer wg.Done()
-	for _, known := range []map[string]func(s *soak, f fault){injectors, stopInjectors, blockInjectors} {
+	for _, known := range []map[string]func(s *soak, f fault){injectors, stopInjectors, blockInjectors, organisationInjectors} {
 		if inject := known[r.fault.kind]; inject != nil {
-			inject(r.soak, r.fault)
+			r.soak.disturb(r.fault, inject)
 		}
 	}
 }
@@ -226,39 +250,44 @@
 // the last configuration in force.
 func (s *soak) verify() {
 	s.violations = append(s.violations, s.sim.Checker.Violations()...)
+	s.checkLogs()
 	if s.options.RulesOnly {
 		return
 	}
-	path := fmt.Sprintf("/v%d/", s.version)
+	path := fmt.Sprintf("/v%d/", s.routeVersion)
 	for _, v := range s.vms {
 		if !v.isReady() {
 			s.violationf("vm%d is not ready at the end", v.n)
 		}
-		if s.version == initialVersion {
+		if s.routeVersion == 0 {
 			continue
 		}
 		a := standin.SendRequest(http.DefaultClient, http.MethodGet, "http://"+v.address(0), fmt.Sprintf("s%d-last-%d", s.seed, v.n), path+"x", requestTimeout)
 		if a.Status == http.StatusNotFound || a.Status == http.StatusServiceUnavailable || a.Status == 0 {
-			s.violationf("vm%d answers %d to a route of version %d", v.n, a.Status, s.version)
+			s.violationf("vm%d answers %d to a route of version %d", v.n, a.Status, s.routeVersion)
 		}
 	}
 }
 
-// initialVersion is the configuration version of a new platform.
-const initialVersion = 3
-
 // changeConfig submits a new configuration version with an additional route
 // that is named after the version.
 func (s *soak) changeConfig(fault) {
+	s.updateConfig(func(c *standin.Config) {
+		s.routeVersion = s.version
+		c.Routes = append(c.Routes, standin.Route{
+			Name: fmt.Sprintf("v%d", s.version), Host: standin.Host, PathPrefix: fmt.Sprintf("/v%d/", s.version), Public: len(c.Tenants) > 0,
+			Kind: "safe", TimeoutMS: 1000, ObjectiveMS: 300, MaxAttempts: 2, Service: "once",
+		})
+	})
+}
+
+// updateConfig changes the configuration and submits it as a new version.
+func (s *soak) updateConfig(change func(c *standin.Config)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	c := &s.sim.Config
-	c.Version = s.version
-	c.Routes = append(c.Routes, standin.Route{
-		Name: fmt.Sprintf("v%d", s.version), Host: standin.Host, PathPrefix: fmt.Sprintf("/v%d/", s.version),
-		Kind: "safe", TimeoutMS: 1000, ObjectiveMS: 300, MaxAttempts: 2, Service: "once",
-	})
+	s.sim.Config.Version = s.version
+	change(&s.sim.Config)
 	if err := s.sim.PutConfig(); err != nil {
 		s.events = append(s.events, err.Error())
 	}
--- a/cmd/leversoak/vm.go
+++ b/cmd/leversoak/vm.go
@@ -15,6 +15,9 @@
 	"arbutuslever.dev/lever/platform/standin"
 )
 
+// configApply is the time in which a VM must apply a configuration.
+const configApply = 3 * time.Second
+
 // readyTimeout is how long the processes may take to become ready.
 const readyTimeout = 6 * time.Second
 
@@ -32,6 +35,8 @@
 	balancer *proxy
 	// procs is GOMAXPROCS of the process, or 0.
 	procs int
+	// bounds are further bounds of the settings.
+	bounds map[string]any
 	// slow is the number of requests to the service "slow" in flight.
 	slow atomic.Int64
 	logf func(format string, args ...any)
@@ -88,7 +93,8 @@
 		Front: v.address(0), Ready: v.address(1), Control: v.address(2),
 		Seeds: []string{fmt.Sprintf("127.0.1.1:%d", v.ports[2]), fmt.Sprintf("127.0.1.2:%d", v.ports[2])},
 		Store: v.store.address(), RetrySlack: retrySlack, GraceS: v.graceS,
-		CPUShare: 0.4, MemoryMB: 284, DrainMS: 3000, ConfigApplyMS: 3000, WritesPerS: 400, ReadsPerS: 2000,
+		CPUShare: 0.4, MemoryMB: 284, DrainMS: 3000, ConfigApplyMS: int(configApply.Milliseconds()), WritesPerS: 400, ReadsPerS: 2000,
+		Bounds: v.bounds,
 	}
 	return s.Write(v.settingsPath())
 }
