--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -123,6 +123,7 @@
 		Protocol: platform.Protocol{}, Log: log, PeerKeys: leverpeer.NewKeys(s.Platform.Address),
 		Seeds: seeds(s), Terms: budgetTerms(s), Metrics: e.metrics, MaxInFlight: s.Limits.MemoryMB * inFlightPerMB,
 		MaxBodyBytes: int64(bodyFraction * float64(s.Limits.MemoryMB<<20)), DrainTime: time.Duration(s.Bounds.DrainMS) * time.Millisecond,
+		RevokeWithin: s.RevokeWithin(),
 	})
 	e.gate = &levergate.Gate{Node: e.node, Log: e.log, Ready: &platform.Ready{Ready: e.node.Ready}}
 	e.gate.Callers = &platform.CallerHandler{Engine: e.node.Engine(), CallerRTT: e.gate.CallerRTT, BodyLimit: e.bodyLimit, Closing: e.node.Stopping}
--- a/internal/leverdirectory/config.go
+++ b/internal/leverdirectory/config.go
@@ -4,9 +4,7 @@
 package leverdirectory
 
 import (
-	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverid"
@@ -108,21 +106,24 @@
 	// of the objects that a configuration is composed of.
 	Attachment []byte
 
-	byHost map[string][]*Route
+	byHost map[string]*prefixes
 	shards map[leverid.ServiceID]bool
 	byKey  map[KeyDigest]*Organisation
 	byName map[leverid.OrganisationID]*Organisation
 }
 
-// index groups the routes by host, the longest prefix first, the organisations by key
-// and by name, and collects the shards.
+// index groups the routes by host and prefix, the organisations by key and by name, and
+// collects the shards.
 func (c *Config) index() {
 	c.indexOrganisations()
-	c.byHost = make(map[string][]*Route)
+	c.byHost = make(map[string]*prefixes)
 	c.shards = make(map[leverid.ServiceID]bool)
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		c.byHost[r.Host] = append(c.byHost[r.Host], r)
+		if c.byHost[r.Host] == nil {
+			c.byHost[r.Host] = &prefixes{routes: make(map[string]*Route)}
+		}
+		c.byHost[r.Host].add(r)
 		if len(r.Shards) > 0 {
 			r.shardsHash = r.hashShards()
 		}
@@ -130,9 +131,6 @@
 			c.shards[s] = true
 		}
 	}
-	for _, routes := range c.byHost {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
-	}
 }
 
 // IsShard reports whether a service is a shard of some fan-out.
@@ -140,10 +138,9 @@
 
 // Route returns the route for a host and a path, or nil.
 func (c *Config) Route(host, path string) *Route {
-	for _, r := range c.byHost[host] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
-		}
+	p := c.byHost[host]
+	if p == nil {
+		return nil
 	}
-	return nil
+	return p.find(path)
 }
--- a/internal/leverdirectory/organisation.go
+++ b/internal/leverdirectory/organisation.go
@@ -40,6 +40,9 @@
 // OrganisationNamed returns the organisation with a name, or nil.
 func (c *Config) OrganisationNamed(name leverid.OrganisationID) *Organisation { return c.byName[name] }
 
+// KeyCount returns the number of keys.
+func (c *Config) KeyCount() int { return len(c.byKey) }
+
 // indexOrganisations groups the organisations by key and by name. If two hold the same
 // key, it is the first one's.
 func (c *Config) indexOrganisations() {
--- a/internal/leverengine/authorize.go
+++ b/internal/leverengine/authorize.go
@@ -37,6 +37,9 @@
 	}
 	var o *leverdirectory.Organisation
 	if !route.Public {
+		if reason := e.refuseKeys(); reason != "" {
+			return nil, &Outcome{Verdict: NotReady, RetryAfter: defaultRetryAfter, Reason: reason}
+		}
 		if o = c.Organisation(req.Key); o == nil {
 			return nil, e.unknownKey()
 		}
@@ -51,6 +54,13 @@
 	return o, nil
 }
 
+func (e *Engine) refuseKeys() string {
+	if e.RefuseKeys == nil {
+		return ""
+	}
+	return e.RefuseKeys()
+}
+
 // unknownKey returns the outcome of a request without a known key: Unauthorized if the
 // configuration is up to date, otherwise NotReady. It does not say whether there was a
 // key.
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -58,6 +58,8 @@
 	Delegate Delegate
 	// Brancher, if set, may run parts of fan-outs on other VMs.
 	Brancher Brancher
+	// RefuseKeys, if set, returns why requests that need a key are refused now, or "".
+	RefuseKeys func() string
 	// Allowance, if set, limits the requests of organisations.
 	Allowance Allowance
 
@@ -213,7 +215,7 @@
 // does not permit.
 func (e *Engine) recordOverAllowance(req *Request, view *leverdirectory.View, route *leverdirectory.Route, out *Outcome) *Outcome {
 	e.Metrics.Add(levermetric.Name("requests", "verdict", out.Verdict.String(), "rank", route.Rank.String()), 1)
-	e.Log.Info("a request exceeds an allowance", "id", req.ID, "verdict", out.Verdict, "route", route.Name, "organisation", req.Organisation,
+	e.Log.Info("a request exceeds an allowance", "id", req.ID, "verdict", out.Verdict, "route", route.Name, "rank", route.Rank, "organisation", req.Organisation,
 		"config", view.Config.Version, "retry-after", out.RetryAfter, "reason", out.Reason)
 	return out
 }
--- a/internal/leverengine/record.go
+++ b/internal/leverengine/record.go
@@ -115,9 +115,13 @@
 	for _, a := range f.attempts {
 		waited = max(waited, a.waited(now))
 	}
-	e.Log.Info("a request ended", "id", f.req.ID, "route", f.route.Name, "rank", rank, "verdict", out.Verdict,
+	keyvals := []any{"id", f.req.ID, "route", f.route.Name, "rank", rank, "verdict", out.Verdict,
 		"config", f.version, "parts", len(f.parts), "missing", out.Missing, "hedged", f.hedged, "retried", f.retried,
-		"took", took.Round(logPrecision), "waited", waited.Round(logPrecision), "objective", f.route.Objective, "open", f.openParts(), "age-at-begin", f.startTime.Sub(f.req.Received).Round(logPrecision), "reason", out.Reason)
+		"took", took.Round(logPrecision), "waited", waited.Round(logPrecision), "objective", f.route.Objective, "open", f.openParts(), "age-at-begin", f.startTime.Sub(f.req.Received).Round(logPrecision), "reason", out.Reason}
+	if f.req.Organisation != "" {
+		keyvals = append(keyvals, "organisation", f.req.Organisation)
+	}
+	e.Log.Info("a request ended", keyvals...)
 }
 
 // recordTakeOver logs and counts a branch whose open parts run here, too. taken is
--- a/internal/leverexplain/summary.go
+++ b/internal/leverexplain/summary.go
@@ -38,9 +38,11 @@
 	// A missing field means that no line was suppressed.
 	n, _ := strconv.Atoi(l.Fields["left-out"])
 	s.suppressed += n
-	switch l.Message {
-	case "a request ended", "a request can't be routed":
+	if isEnd(l) {
 		s.causes[causeKey(l)]++
+		return
+	}
+	switch l.Message {
 	case "an upstream is believed anew":
 		s.changes[l.Fields["belief"]+" after "+l.Fields["after"]]++
 	case "the store is lost", "the store is back", "a configuration is in force", "a peer is down":
@@ -50,7 +52,8 @@
 
 // causeKey returns the rank, outcome and reason of an ended request, separated
 // by tabs. Addresses, times and ids are cut off the reason, so that requests
-// with the same cause have the same key.
+// with the same cause have the same key. The organisation of a refused request is part of
+// it.
 func causeKey(l *Line) string {
 	verdict := l.Fields["verdict"]
 	switch {
@@ -65,6 +68,9 @@
 	for _, separator := range []string{" at ", " by ", " for "} {
 		reason, _, _ = strings.Cut(reason, separator)
 	}
+	if o := l.Fields["organisation"]; o != "" && (verdict == "over-allowance" || verdict == "not-run") {
+		reason += ", organisation " + o
+	}
 	return strings.Join([]string{l.Fields["rank"], verdict, reason}, "\t")
 }
 
--- a/internal/leverexplain/trace.go
+++ b/internal/leverexplain/trace.go
@@ -95,7 +95,7 @@
 func (t *Trace) Cause() string {
 	var end *Line
 	for _, l := range t.lines {
-		if l.Message == "a request ended" || l.Message == "a request can't be routed" {
+		if isEnd(l) {
 			end = l
 		}
 	}
@@ -105,6 +105,15 @@
 	return cause(end, t.results())
 }
 
+// isEnd reports whether a line says how a request ended.
+func isEnd(l *Line) bool {
+	switch l.Message {
+	case "a request ended", "a request can't be routed", "a request exceeds an allowance":
+		return true
+	}
+	return false
+}
+
 // results counts the failed attempts by result.
 func (t *Trace) results() map[string]int {
 	out := make(map[string]int)
@@ -123,6 +132,10 @@
 		return "the VM had no current configuration or list of upstreams (" + reason + "); see its log lines about the store"
 	case "no-route":
 		return "configuration " + end.Fields["config"] + " has no route for it"
+	case "unauthorized":
+		return "no organisation of configuration " + end.Fields["config"] + " has the caller's key: it is missing, unknown or revoked"
+	case "over-allowance":
+		return "organisation " + end.Fields["organisation"] + " has used up its allowance: " + reason + "; there is capacity after " + end.Fields["retry-after"]
 	case "not-run":
 		return "it was refused before it ran: " + reason
 	case "may-have-run":
--- a/internal/levernode/follow.go
+++ b/internal/levernode/follow.go
@@ -154,7 +154,11 @@
 }
 
 func (n *Node) logConfig(c *leverdirectory.Config) {
-	n.log.Info("a configuration is in force", "version", c.Version, "routes", len(c.Routes))
+	keyvals := []any{"version", c.Version, "routes", len(c.Routes)}
+	if c.KeysRequired {
+		keyvals = append(keyvals, "organisations", len(c.Organisations), "keys", c.KeyCount())
+	}
+	n.log.Info("a configuration is in force", keyvals...)
 }
 
 func (n *Node) composeConfig(list []*leverdirectory.Config) {
--- a/internal/levernode/gauges.go
+++ b/internal/levernode/gauges.go
@@ -21,6 +21,7 @@
 	})
 	m.Gauge("requests-in-flight", func() float64 { return float64(n.engine.InFlight()) })
 	m.Gauge("store-current", func() float64 { return boolValue(n.mirror.Current()) })
+	m.Gauge("keys-refused", func() float64 { return boolValue(n.keysRefused.Load()) })
 	m.Gauge("store-watched-here", func() float64 { return boolValue(n.relay.IsWatching()) })
 	m.Gauge("runs-fan-outs", func() float64 { return boolValue(n.delegate.RunsLocally()) })
 	m.Gauge("vms-listed", func() float64 { return float64(n.members.Len()) })
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -27,6 +27,7 @@
 	"arbutuslever.dev/lever/internal/leverpeer"
 	"arbutuslever.dev/lever/internal/leverpool"
 	"arbutuslever.dev/lever/internal/leverrelay"
+	"arbutuslever.dev/lever/internal/leverrevocation"
 	"arbutuslever.dev/lever/internal/levertimer"
 )
 
@@ -90,6 +91,9 @@
 	// RouteViaHomes, if set, reports whether the calls to each upstream go
 	// through one VM, its home.
 	RouteViaHomes func() bool
+	// RevokeWithin, if set, makes the VM refuse requests that need a key once it may have
+	// had no path to the store for that time.
+	RevokeWithin time.Duration
 	// Dial replaces the TCP dialer in tests.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -135,6 +139,9 @@
 	// the evidence of all VMs about some fingerprints.
 	crashes  *crashQueue
 	gatherer levercrash.Gatherer
+	keys     *leverrevocation.Keys
+	// keysRefused is whether requests that need a key are refused.
+	keysRefused atomic.Bool
 }
 
 // New creates a node. Start makes it serve.
@@ -145,6 +152,7 @@
 		members: levermember.NewView(o.Self), mirror: leverrelay.NewMirror(),
 		budget:   &leverbudget.Budget{Terms: o.Terms, Lease: shareLease},
 		register: make(chan struct{}, 1),
+		keys:     &leverrevocation.Keys{Bound: o.RevokeWithin, Detection: pathLossDetection},
 	}
 	n.crashes = newCrashQueue(n)
 	n.pauses.Timer = n.timer
@@ -153,7 +161,7 @@
 		Domain: o.Self.Domain, Timer: n.timer, Log: o.Log.For("engine"), Directory: directory,
 		Health: &leverhealth.Tracker{}, Budget: n.budget, Pool: &leverpool.Pool{Dial: o.Dial, MaxBodyBytes: o.MaxBodyBytes}, Protocol: o.Protocol,
 		ConnectionShares: n.shares, Current: n.mirror.Current, Crashes: &levercrash.Guard{}, OnCrashLevel: n.queueCrashReport, CrashReports: n.crashes, Metrics: o.Metrics,
-		DrainTime: o.DrainTime, MaxInFlight: o.MaxInFlight, MaxConnsPerUpstream: o.MaxConnsPerUpstream, Events: n.events,
+		RefuseKeys: n.refuseKeys, DrainTime: o.DrainTime, MaxInFlight: o.MaxInFlight, MaxConnsPerUpstream: o.MaxConnsPerUpstream, Events: n.events,
 	}
 	directory.OnChange = n.directoryChanged
 	n.initPeers()
@@ -180,6 +188,7 @@
 	n.relay = &leverrelay.Relay{
 		Self: o.Self.ID, Members: n.members, Peers: n.controlPeers, Mirror: n.mirror, Timer: n.timer,
 		Log: o.Log.For("relay"), Seeds: o.Seeds, Watch: n.watchStore, StoreCurrent: n.storeCurrent,
+		OnPath: n.observePath,
 	}
 	n.delegate = &leverdelegate.Delegate{
 		Self: o.Self, Members: n.members, Peers: n.workPeers, Engine: n.engine, Timer: n.timer,
@@ -271,7 +280,10 @@
 func (n *Node) WatchesStore() bool { return n.relay.IsWatching() }
 
 // Ready reports whether the VM accepts requests.
-func (n *Node) Ready() bool { return !n.stopping.Load() && n.engine.Directory.View().Usable() }
+func (n *Node) Ready() bool {
+	view := n.engine.Directory.View()
+	return !n.stopping.Load() && view.Usable() && !n.awaitsPath(view.Config)
+}
 
 // Stopping reports whether the VM is shutting down.
 func (n *Node) Stopping() bool { return n.stopping.Load() }
--- a/internal/leverrelay/relay.go
+++ b/internal/leverrelay/relay.go
@@ -59,6 +59,9 @@
 	Watch func(ctx context.Context)
 	// StoreCurrent reports whether that watch is connected to the store.
 	StoreCurrent func() bool
+	// OnPath, if set, is called every checkInterval with whether there is a path to the
+	// store.
+	OnPath func(hasPath bool)
 
 	mu sync.Mutex
 	// parent is the VM that is followed, parentPath its path to the store.
@@ -95,7 +98,11 @@
 		}
 		watching := watch.cancel != nil
 		r.setWatching(watching)
-		r.Mirror.SetPath(r.path(watching))
+		path := r.path(watching)
+		r.Mirror.SetPath(path)
+		if r.OnPath != nil {
+			r.OnPath(len(path) > 0)
+		}
 		if watching && r.StoreCurrent() && r.rank() >= watchCandidates {
 			r.offerPath(ctx)
 		}
