internal/leverdirectory, leverrelay, leverreturn, platform: evacuated failure domains

An operator evacuates a zone by an object in the store. Nothing more may be sent to its upstreams within 5 s, and the zone may be cold when it returns.

The objects are followed like the upstreams, only where the settings' bounds have evacuateMs, without holding entries after an outage. The relay's message has one more field, which builds without it ignore and which is left out where there are no evacuations. The View leaves upstreams of evacuated domains out, so attempts that wait and due retries are placed again by the same wake-up as for draining upstreams; a service without any other upstream refuses at once with a Retry-After of 1 s. Calls in flight there move like those at draining upstreams, but are not canceled if there is no other upstream. A VM that starts takes no requests before it knows the evacuations, for at most 3 s. After an evacuation, leverreturn admits 2% of the requests to the domain at first and all after 10 s, as long as other upstreams can take them.

The evacuations are read by one watch of 20 s on the watching VM. A watch that went silent is found by comparing revisions, at most every 2 s and only while the store changes; without that, TestEvacuationBySilentWatch had requests 2.9 s after the bound. Without the wait at the start, TestRestartKnowsEvacuations had requests 0.7 s after a restart.

--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverbudget"
+	"arbutuslever.dev/lever/internal/leverfeed"
 	"arbutuslever.dev/lever/internal/levergate"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leverlog"
@@ -114,12 +115,17 @@
 	e.metrics.Gauge("log-lines-dropped", func() float64 { return float64(sink.Dropped()) })
 	// The settings hold no secret. The store's address as the peers' shared key
 	// only keeps VMs of different platforms apart.
+	store := platform.NewStore(s.Platform.Address, storeClient(), log.For("store"))
+	var evacuations leverfeed.Source[leverid.Domain]
+	if s.Bounds.EvacuateMS > 0 {
+		evacuations = store.Evacuations()
+	}
 	e.node = levernode.New(levernode.Options{
 		Self: levermsg.VM{
 			ID: leverid.VMID(s.Node), Domain: leverid.Domain(s.Zone), Peer: s.Listen.Control, Caller: s.Listen.Front,
 			State: levermsg.Live, Power: s.Power(),
 		},
-		Store:    platform.NewStore(s.Platform.Address, storeClient(), log.For("store")),
+		Store: store, Evacuations: evacuations,
 		Protocol: platform.Protocol{}, Log: log, PeerKeys: leverpeer.NewKeys(s.Platform.Address),
 		Seeds: seeds(s), Terms: budgetTerms(s), Metrics: e.metrics, MaxInFlight: s.Limits.MemoryMB * inFlightPerMB,
 		MaxBodyBytes: int64(bodyFraction * float64(s.Limits.MemoryMB<<20)), DrainTime: time.Duration(s.Bounds.DrainMS) * time.Millisecond,
--- a/internal/leverdirectory/directory.go
+++ b/internal/leverdirectory/directory.go
@@ -45,16 +45,18 @@
 
 	byService map[leverid.ServiceID][]*Upstream
 	byKey     map[Key]*Upstream
+	evacuations
 }
 
-// Upstreams returns the upstreams of a service that accept new requests.
+// Upstreams returns the upstreams of a service that accept new requests and are in no
+// evacuated failure domain.
 func (v *View) Upstreams(s leverid.ServiceID) []*Upstream { return v.byService[s] }
 
 // Contains reports whether an upstream is listed, including draining ones.
 func (v *View) Contains(k Key) bool { return v.byKey[k] != nil }
 
 // Usable reports whether requests can be routed by this View.
-func (v *View) Usable() bool { return v.Config != nil && v.UpstreamsLoaded }
+func (v *View) Usable() bool { return v.Config != nil && v.UpstreamsLoaded && !v.awaited }
 
 // Directory holds the current View. The zero value is an empty Directory. It is
 // safe for concurrent use.
@@ -109,18 +111,14 @@
 
 // SetUpstreams replaces the list of upstreams.
 func (d *Directory) SetUpstreams(list []Upstream) {
-	byService := make(map[leverid.ServiceID][]*Upstream)
 	byKey := make(map[Key]*Upstream, len(list))
 	for i := range list {
-		u := &list[i]
-		byKey[u.Key()] = u
-		if !u.Draining {
-			byService[u.Service] = append(byService[u.Service], u)
-		}
+		byKey[list[i].Key()] = &list[i]
 	}
 	d.mu.Lock()
 	next := *d.View()
-	next.UpstreamsLoaded, next.byService, next.byKey = true, byService, byKey
+	next.UpstreamsLoaded, next.listed, next.byKey = true, list, byKey
+	next.indexServices()
 	d.storeAndUnlock(&next)
 }
 
--- a/internal/leverengine/block.go
+++ b/internal/leverengine/block.go
@@ -89,14 +89,23 @@
 	e.Log.Info(message, append([]any{"upstream", u.ID, "service", u.Service, "address", u.Address}, attributes...)...)
 }
 
+// anyBlocked reports whether wait may return a time other than 0 for any service.
+func (e *Engine) anyBlocked() bool {
+	return e.Health.AnyBlocked() || e.Directory.View().AnyWithdrawn()
+}
+
 // wait returns how long no upstream of a service takes requests from this VM: 0 if one
 // does or none is known.
 func (e *Engine) wait(s leverid.ServiceID, now time.Time) time.Duration {
+	view := e.Directory.View()
+	if view.Withdrawn(s) {
+		return withdrawnWait
+	}
 	if !e.Health.AnyBlocked() {
 		return 0
 	}
 	shortest := time.Duration(0)
-	for _, u := range e.Directory.View().Upstreams(s) {
+	for _, u := range view.Upstreams(s) {
 		d := e.Health.Wait(u, now)
 		if d == 0 {
 			return 0
@@ -117,7 +126,7 @@
 		return nil
 	}
 	next := f.engine.blocked.next()
-	if !f.engine.Health.AnyBlocked() {
+	if !f.engine.anyBlocked() {
 		return next
 	}
 	for _, a := range f.attempts {
@@ -131,7 +140,7 @@
 // partWaits returns how long the parts whose upstreams take no requests have to wait,
 // in ascending order.
 func (f *fanout) partWaits(now time.Time) []time.Duration {
-	if !f.engine.Health.AnyBlocked() {
+	if !f.engine.anyBlocked() {
 		return nil
 	}
 	var waits []time.Duration
--- a/internal/leverengine/choose.go
+++ b/internal/leverengine/choose.go
@@ -27,9 +27,10 @@
 func (f *fanout) pick(c *candidates, now time.Time, accept func(*leverdirectory.Upstream) bool) (*leverdirectory.Upstream, time.Duration) {
 	var best *leverdirectory.Upstream
 	var bestTime time.Duration
+	upstreams := f.eligible(c, now)
 	for _, alreadyTried := range []bool{false, true} {
 		found := false
-		for _, u := range f.engine.Directory.View().Upstreams(c.service) {
+		for _, u := range upstreams {
 			if c.tried(u) != alreadyTried || f.engine.Health.Wait(u, now) > 0 {
 				continue
 			}
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -58,6 +58,9 @@
 	Delegate Delegate
 	// Brancher, if set, may run parts of fan-outs on other VMs.
 	Brancher Brancher
+	// Returns, if set, limits the requests to upstreams in failure domains whose
+	// evacuation has just ended.
+	Returns Returns
 	// Allowance, if set, limits the requests of organisations.
 	Allowance Allowance
 
@@ -252,5 +255,9 @@
 	for _, k := range e.Health.Retain(view.Contains, e.Timer.Now()) {
 		e.Log.Info("an upstream that was leaving is gone", "upstream", k.ID, "address", k.Address, "born", k.Born)
 	}
+	if e.Returns != nil {
+		e.Returns.Update(view.EvacuatedDomains(), e.Timer.Now())
+		e.blocked.send()
+	}
 	e.departures.send()
 }
--- a/internal/leverengine/move.go
+++ b/internal/leverengine/move.go
@@ -93,6 +93,10 @@
 			elsewhere = f.replace(a, now)
 			a.departure.replaceAt = now.Add(replaceInterval)
 		}
+		if !elsewhere && a.isWithdrawn() {
+			// Nothing says that the upstream exits.
+			continue
+		}
 		if !now.Before(a.departure.abandonAt) && (elsewhere || p.possibleRuns < f.maxRuns()) {
 			f.recordAbandoned(a, now)
 			a.departure.abandoned, a.departure.last = true, f.allDepart(p, now)
--- a/internal/leverengine/place.go
+++ b/internal/leverengine/place.go
@@ -83,7 +83,7 @@
 	f := a.fanout
 	now := f.engine.Timer.Now()
 	usable := func(u *leverdirectory.Upstream) bool { return f.engine.Health.Wait(u, now) == 0 && hasRoom(u) }
-	if !slices.ContainsFunc(f.engine.Directory.View().Upstreams(a.candidates.service), usable) {
+	if !slices.ContainsFunc(f.eligible(&a.candidates, now), usable) {
 		return nil
 	}
 	health, least := f.engine.Health, leverhealth.AvoidUnreachable
--- a/internal/levernode/follow.go
+++ b/internal/levernode/follow.go
@@ -90,11 +90,17 @@
 func (n *Node) relistOthers() {
 	n.upstreams.Relist()
 	n.vms.Relist()
+	if n.evacuations != nil {
+		n.evacuations.Relist()
+	}
 }
 
-// confirmRevision checks with each watch of the configuration that the watch of the
-// upstreams, which may last longer, still receives changes.
-func (n *Node) confirmRevision(rev leverfeed.Revision) { n.upstreams.Confirm(rev) }
+// confirmRevision checks with each watch of the configuration that the watches of the
+// upstreams and of the evacuations, which may last longer, still receive changes.
+func (n *Node) confirmRevision(rev leverfeed.Revision) {
+	n.upstreams.Confirm(rev)
+	n.confirmEvacuations(rev)
+}
 
 func (n *Node) storeLost() {
 	n.events.Add(leverevent.StoreDown, string(n.opts.Self.ID), "")
@@ -108,6 +114,9 @@
 func (n *Node) suspectOutage() {
 	n.upstreams.AssumeOutage()
 	n.vms.AssumeOutage()
+	if n.evacuations != nil {
+		n.evacuations.AssumeOutage()
+	}
 }
 
 // watchStore watches the store until ctx ends. It returns once all its calls have
@@ -126,6 +135,10 @@
 	}
 	wg.Add(1)
 	go n.runVMs(ctx, &wg)
+	if n.evacuations != nil {
+		wg.Add(1)
+		go n.runEvacuations(ctx, &wg)
+	}
 	n.upstreams.Run(ctx)
 }
 
--- a/internal/levernode/gauges.go
+++ b/internal/levernode/gauges.go
@@ -19,6 +19,9 @@
 		}
 		return 0
 	})
+	if n.evacuations != nil {
+		m.Gauge("domains-evacuated", func() float64 { return float64(len(n.engine.Directory.View().EvacuatedDomains())) })
+	}
 	m.Gauge("requests-in-flight", func() float64 { return float64(n.engine.InFlight()) })
 	m.Gauge("store-current", func() float64 { return boolValue(n.mirror.Current()) })
 	m.Gauge("store-watched-here", func() float64 { return boolValue(n.relay.IsWatching()) })
--- a/internal/levernode/life.go
+++ b/internal/levernode/life.go
@@ -47,6 +47,9 @@
 	go n.runCrashLevels(ctx)
 	go n.runCrashEvidence(ctx)
 	go n.runPauses(ctx)
+	if n.evacuations != nil {
+		go n.runEvacuationsWait(ctx)
+	}
 }
 
 func (n *Node) runPauses(ctx context.Context) { n.pauses.Run(ctx) }
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -75,8 +75,10 @@
 	// OnConfig, if set, is called when a configuration built by Compose has come
 	// into force.
 	OnConfig func()
-	Log      leverlog.Logger
-	Metrics  *levermetric.Set
+	// Evacuations, if set, is the collection of the evacuated failure domains.
+	Evacuations leverfeed.Source[leverid.Domain]
+	Log         leverlog.Logger
+	Metrics     *levermetric.Set
 	// MaxInFlight is the maximum number of concurrent requests, 0 for no limit.
 	MaxInFlight int
 	// MaxBodyBytes is the maximum memory, in bytes, of large responses that are
@@ -118,8 +120,13 @@
 	configs   *leverfeed.Follower[*leverdirectory.Config]
 	upstreams *leverfeed.Follower[leverdirectory.Upstream]
 	vms       *leverfeed.Follower[levermsg.VM]
-	stopping  atomic.Bool
-	pauses    levertimer.PauseDetector
+	// evacuations is nil if the VM takes no notice of evacuations.
+	evacuations *leverfeed.Follower[leverid.Domain]
+	// evacuationsConfirmed is when the copy of the evacuations was last compared with
+	// the store's revision, in Unix nanoseconds.
+	evacuationsConfirmed atomic.Int64
+	stopping             atomic.Bool
+	pauses               levertimer.PauseDetector
 	// lastContact is when another VM last sent a frame, or when the node was
 	// started, in Unix nanoseconds.
 	lastContact atomic.Int64
@@ -161,6 +168,7 @@
 	n.engine.Delegate = n.delegate
 	n.engine.Brancher = n.branches
 	n.initHomes()
+	n.initEvacuations()
 	n.mirror.OnConfigs = n.applyConfigs
 	n.mirror.OnUpstreams = directory.SetUpstreams
 	n.mirror.OnVMs = n.applyVMs
--- a/internal/leverrelay/collection.go
+++ b/internal/leverrelay/collection.go
@@ -30,6 +30,15 @@
 // gets the complete collection.
 const maxDeleted = 4096
 
+// init makes an empty collection known. It reports whether it was not known before.
+func (c *collection[T]) init() bool {
+	if c.byName != nil {
+		return false
+	}
+	c.byName = make(map[string]entry[T])
+	return true
+}
+
 // replace sets the complete collection unless rev is older than the present
 // revision. It reports whether an item changed.
 func (c *collection[T]) replace(items map[string]T, rev leverfeed.Revision, seq uint64) bool {
--- a/internal/leverrelay/mirror.go
+++ b/internal/leverrelay/mirror.go
@@ -31,6 +31,9 @@
 	Upstreams Delta[leverdirectory.Upstream] `msgpack:"u"`
 	VMs       Delta[levermsg.VM]             `msgpack:"v"`
 	Crashes   []CrashEntry                   `msgpack:"h"`
+	// Evacuations holds the evacuated failure domains. It is nil if the parent does not
+	// know them, which does not mean that there are none.
+	Evacuations *Delta[leverid.Domain] `msgpack:"x,omitempty"`
 	// Packed, if set, is a compressed Update that replaces this one.
 	Packed []byte `msgpack:"k,omitempty"`
 }
@@ -43,6 +46,8 @@
 	OnConfigs   func([]*leverdirectory.Config)
 	OnUpstreams func([]leverdirectory.Upstream)
 	OnVMs       func([]levermsg.VM)
+	// OnEvacuations may be nil.
+	OnEvacuations func([]leverid.Domain)
 	// OnCrashes merges the crash levels that a parent sent and returns the
 	// entries that were new.
 	OnCrashes func([]levercrash.Entry) []levercrash.Entry
@@ -59,11 +64,12 @@
 	// pathID changes with path.
 	pathID uint64
 	// changed is closed, and replaced, at each change.
-	changed   chan struct{}
-	configs   collection[*leverdirectory.Config]
-	upstreams collection[leverdirectory.Upstream]
-	vms       collection[levermsg.VM]
-	crashes   map[leverid.Fingerprint]crashRecord
+	changed     chan struct{}
+	configs     collection[*leverdirectory.Config]
+	upstreams   collection[leverdirectory.Upstream]
+	vms         collection[levermsg.VM]
+	evacuations collection[leverid.Domain]
+	crashes     map[leverid.Fingerprint]crashRecord
 
 	encoder encoder
 }
@@ -75,6 +81,7 @@
 	m.configs.equal = func(x, y *leverdirectory.Config) bool { return x.Version == y.Version }
 	m.upstreams.equal = func(x, y leverdirectory.Upstream) bool { return x == y }
 	m.vms.equal = func(x, y levermsg.VM) bool { return x == y }
+	m.evacuations.equal = func(x, y leverid.Domain) bool { return x == y }
 	return m
 }
 
@@ -83,7 +90,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.seq++
-	m.publish(m.configs.replace(items, rev, m.seq), false, false)
+	m.publish(changes{configs: m.configs.replace(items, rev, m.seq)})
 }
 
 // SetUpstreams replaces the upstreams by those of the store at rev. The first
@@ -92,11 +99,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.seq++
-	first := m.upstreams.byName == nil
-	if first {
-		m.upstreams.byName = make(map[string]entry[leverdirectory.Upstream])
-	}
-	m.publish(false, m.upstreams.replace(items, rev, m.seq) || first, false)
+	first := m.upstreams.init()
+	m.publish(changes{upstreams: m.upstreams.replace(items, rev, m.seq) || first})
 }
 
 // Upstreams returns the known upstreams by the names of their entries.
@@ -111,7 +115,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.seq++
-	m.publish(false, false, m.vms.replace(items, rev, m.seq))
+	m.publish(changes{vms: m.vms.replace(items, rev, m.seq)})
 }
 
 // Merge applies an update from a parent. Collections of an older revision than
@@ -120,13 +124,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.seq++
-	configs := m.configs.merge(u.Configs, u.Reset, m.seq)
-	first := u.Reset && m.upstreams.byName == nil && u.Upstreams.Revision > 0
-	if first {
-		m.upstreams.byName = make(map[string]entry[leverdirectory.Upstream])
-	}
-	upstreams := m.upstreams.merge(u.Upstreams, u.Reset, m.seq) || first
-	m.publish(configs, upstreams, m.vms.merge(u.VMs, u.Reset, m.seq))
+	c := changes{configs: m.configs.merge(u.Configs, u.Reset, m.seq)}
+	first := u.Reset && u.Upstreams.Revision > 0 && m.upstreams.init()
+	c.upstreams = m.upstreams.merge(u.Upstreams, u.Reset, m.seq) || first
+	c.vms = m.vms.merge(u.VMs, u.Reset, m.seq)
+	c.evacuations = m.mergeEvacuations(u)
+	m.publish(c)
 	if len(u.Crashes) > 0 {
 		now := time.Now()
 		entries := make([]levercrash.Entry, len(u.Crashes))
@@ -165,20 +168,28 @@
 	return len(m.path) > 0
 }
 
+// changes says which collections have changed.
+type changes struct{ configs, upstreams, vms, evacuations bool }
+
 // publish passes the changed collections to the callbacks and wakes the calls
 // that serve children.
-func (m *Mirror) publish(configs, upstreams, vms bool) {
-	if !configs && !upstreams && !vms {
+func (m *Mirror) publish(c changes) {
+	if c == (changes{}) {
 		return
 	}
-	m.trimmedSeq = max(m.trimmedSeq, m.configs.trimDeleted(), m.upstreams.trimDeleted(), m.vms.trimDeleted())
-	if configs {
+	m.trimmedSeq = max(m.trimmedSeq, m.configs.trimDeleted(), m.upstreams.trimDeleted(), m.vms.trimDeleted(), m.evacuations.trimDeleted())
+	// The evacuations come before the upstreams, so that no upstream is used between the
+	// two.
+	if c.evacuations && m.OnEvacuations != nil {
+		m.OnEvacuations(m.evacuations.values())
+	}
+	if c.configs {
 		m.OnConfigs(m.configs.values())
 	}
-	if upstreams {
+	if c.upstreams {
 		m.OnUpstreams(m.upstreams.values())
 	}
-	if vms {
+	if c.vms {
 		m.OnVMs(m.vms.values())
 	}
 	m.notifyWaiters()
@@ -201,6 +212,6 @@
 	return &Update{
 		Epoch: m.epoch, Seq: m.seq, Reset: reset, Path: m.path,
 		Configs: m.configs.since(seq), Upstreams: m.upstreams.since(seq), VMs: m.vms.since(seq),
-		Crashes: m.crashesSince(seq, time.Now()),
+		Crashes: m.crashesSince(seq, time.Now()), Evacuations: m.evacuationsSince(seq),
 	}, m.changed
 }
