internal/leverallow: fleet-wide allowances by lent votes and token buckets

Cause: an organisation's limit holds for all VMs together, and most organisations send less than one request a second over many VMs, so no share per VM works. Change: VMs lend votes under leases to a manager per group of organisations, which holds the buckets; a VM asks it for tokens. Wired in levernode behind the settings quotaWindowS, quotaExcess and quotaSlack.

--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"arbutuslever.dev/lever/internal/leverallow"
 	"arbutuslever.dev/lever/internal/leverbudget"
 	"arbutuslever.dev/lever/internal/levergate"
 	"arbutuslever.dev/lever/internal/leverid"
@@ -121,7 +122,7 @@
 		},
 		Store:    platform.NewStore(s.Platform.Address, storeClient(), log.For("store")),
 		Protocol: platform.Protocol{}, Log: log, PeerKeys: leverpeer.NewKeys(s.Platform.Address),
-		Seeds: seeds(s), Terms: budgetTerms(s), Metrics: e.metrics, MaxInFlight: s.Limits.MemoryMB * inFlightPerMB,
+		Seeds: seeds(s), Terms: budgetTerms(s), AllowanceTerms: allowanceTerms(s), Metrics: e.metrics, MaxInFlight: s.Limits.MemoryMB * inFlightPerMB,
 		MaxBodyBytes: int64(bodyFraction * float64(s.Limits.MemoryMB<<20)), DrainTime: time.Duration(s.Bounds.DrainMS) * time.Millisecond,
 	})
 	e.gate = &levergate.Gate{Node: e.node, Log: e.log, Ready: &platform.Ready{Ready: e.node.Ready}}
@@ -136,6 +137,13 @@
 	}
 }
 
+func allowanceTerms(s *platform.Settings) leverallow.Terms {
+	return leverallow.Terms{
+		Window: time.Duration(s.Bounds.QuotaWindowS * float64(time.Second)),
+		Excess: s.Bounds.QuotaExcess, Slack: s.Bounds.QuotaSlack,
+	}
+}
+
 func seeds(s *platform.Settings) []levermsg.VM {
 	out := make([]levermsg.VM, len(s.Seeds))
 	for i, address := range s.Seeds {
--- a/internal/levernode/life.go
+++ b/internal/levernode/life.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"arbutuslever.dev/lever/internal/leverallow"
 	"arbutuslever.dev/lever/internal/leverbudget"
 	"arbutuslever.dev/lever/internal/leverevent"
 	"arbutuslever.dev/lever/internal/leverid"
@@ -47,6 +48,7 @@
 	go n.runCrashLevels(ctx)
 	go n.runCrashEvidence(ctx)
 	go n.runPauses(ctx)
+	go n.runAllowance(ctx)
 }
 
 func (n *Node) runPauses(ctx context.Context) { n.pauses.Run(ctx) }
@@ -81,8 +83,9 @@
 // it again when it has been removed.
 func (n *Node) runRegister(ctx context.Context) {
 	n.awaitList(ctx)
-	_, listed := n.ownEntry()
+	old, listed := n.ownEntry()
 	n.isNew.Store(n.mirror.VMsKnown() && !listed)
+	n.wasListed.Store(listed && n.timer.Now().Unix()-old.Since > int64(leverallow.JoinSilence/time.Second))
 	self := n.opts.Self
 	self.Since = n.timer.Now().Unix()
 	for first := true; ; first = false {
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"arbutuslever.dev/lever/internal/leverallow"
 	"arbutuslever.dev/lever/internal/leverbranch"
 	"arbutuslever.dev/lever/internal/leverbudget"
 	"arbutuslever.dev/lever/internal/levercrash"
@@ -59,6 +60,8 @@
 	Protocol leverengine.Protocol
 	// Terms are the limits on extra attempts.
 	Terms leverbudget.Terms
+	// AllowanceTerms are what is common to the allowances of all organisations.
+	AllowanceTerms leverallow.Terms
 	// Seeds are VMs of which only the address is known.
 	Seeds []levermsg.VM
 	// PeerKeys authenticate this VM to the others, which must have the same
@@ -135,6 +138,10 @@
 	// the evidence of all VMs about some fingerprints.
 	crashes  *crashQueue
 	gatherer levercrash.Gatherer
+	// allowance limits the requests of organisations. wasListed is whether the list had
+	// this VM's entry when the process started.
+	allowance *leverallow.Allowance
+	wasListed atomic.Bool
 }
 
 // New creates a node. Start makes it serve.
@@ -161,6 +168,7 @@
 	n.engine.Delegate = n.delegate
 	n.engine.Brancher = n.branches
 	n.initHomes()
+	n.initAllowance()
 	n.mirror.OnConfigs = n.applyConfigs
 	n.mirror.OnUpstreams = directory.SetUpstreams
 	n.mirror.OnVMs = n.applyVMs
--- a/internal/levernode/peers.go
+++ b/internal/levernode/peers.go
@@ -69,6 +69,8 @@
 		}
 	case leverpeer.KindPing:
 		return r.Reply(nil, true)
+	case leverpeer.KindAllowance:
+		return d.node.allowance.Serve(r)
 	case leverpeer.KindCrashes:
 		return d.node.serveCrashes(r)
 	}
--- a/internal/leverpeer/frame.go
+++ b/internal/leverpeer/frame.go
@@ -62,6 +62,8 @@
 	KindBranch Kind = 13
 	// KindOffer offers the VM to follow the sender, which watches the store.
 	KindOffer Kind = 14
+	// KindAllowance lends votes and asks for tokens of allowances.
+	KindAllowance Kind = 15
 )
 
 // CallID identifies a call within its connection.
