--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"arbutuslever.dev/lever/internal/leverallow"
 	"arbutuslever.dev/lever/internal/leverbranch"
 	"arbutuslever.dev/lever/internal/leverbudget"
 	"arbutuslever.dev/lever/internal/levercrash"
@@ -60,6 +61,8 @@
 	Protocol leverengine.Protocol
 	// Terms are the limits on extra attempts.
 	Terms leverbudget.Terms
+	// AllowanceTerms are what is common to the allowances of all organisations.
+	AllowanceTerms leverallow.Terms
 	// Seeds are VMs of which only the address is known.
 	Seeds []levermsg.VM
 	// PeerKeys authenticate this VM to the others, which must have the same
@@ -149,6 +152,10 @@
 	keys     *leverrevocation.Keys
 	// keysRefused is whether requests that need a key are refused.
 	keysRefused atomic.Bool
+	// allowance limits the requests of organisations. wasListed is whether the list had
+	// this VM's entry when the process started.
+	allowance *leverallow.Allowance
+	wasListed atomic.Bool
 }
 
 // New creates a node. Start makes it serve.
@@ -177,6 +184,7 @@
 	n.engine.Brancher = n.branches
 	n.initHomes()
 	n.initEvacuations()
+	n.initAllowance()
 	n.mirror.OnConfigs = n.applyConfigs
 	n.mirror.OnUpstreams = directory.SetUpstreams
 	n.mirror.OnVMs = n.applyVMs
