internal/leverrank, leverengine: organisations share the admitted work of a rank

While a rank's work was limited, all of its requests were refused alike: an organisation with six times its usual load took most answers of the others. The limiter now divides the rank's work among the active organisations by weight and by cost, with an account for each. What nobody demands goes to those that do, and no organisation is served less than half as often as all. A refused request is told when its account has tokens; if it returns then, it goes before new work, and if it returns earlier, it is refused without being counted again. Without organisations, or with one active, decisions are as before.

--- a/internal/leverengine/admit.go
+++ b/internal/leverengine/admit.go
@@ -50,14 +50,31 @@
 		return &Outcome{Verdict: NotRun, Cause: NoCapacity, RetryAfter: defaultRetryAfter, Reason: "too many requests in flight"}
 	}
 	f.work = f.engine.Health.ServiceTime(f.class).Seconds()
-	if f.limiter.Admit(f.route.Rank, f.work, f.startTime) {
+	admission := f.limiter.AdmitRequest(f.offer(), f.startTime)
+	if admission.Admitted {
 		return nil
 	}
+	if admission.RetryAfter > 0 {
+		return &Outcome{Verdict: NotRun, Cause: NoCapacity, RetryAfter: admission.RetryAfter, Reason: "insufficient capacity for this organisation"}
+	}
 	// The smaller the admitted fraction, the longer the suggested delay.
 	retryAfter := time.Duration(float64(defaultRetryAfter) / max(f.limiter.Fraction(f.route.Rank), 0.01))
 	return &Outcome{Verdict: NotRun, Cause: NoCapacity, RetryAfter: min(retryAfter, maxRetryAfter), Reason: "insufficient capacity for this rank"}
 }
 
+// offer returns the request as the limiter knows it.
+func (f *fanout) offer() *leverrank.Request {
+	r := &leverrank.Request{Rank: f.route.Rank, Work: f.work, Organisation: f.req.Organisation}
+	if r.Organisation == "" {
+		return r
+	}
+	r.Content = f.req.Fingerprint()
+	if o := f.view.Config.OrganisationNamed(r.Organisation); o != nil {
+		r.Weight = o.Rate
+	}
+	return r
+}
+
 // isSlow reports whether a call that took d was slow.
 func (f *fanout) isSlow(d time.Duration) bool {
 	return d > time.Duration(slowCallFraction*float64(f.route.Objective))
--- a/internal/leverrank/limiter.go
+++ b/internal/leverrank/limiter.go
@@ -66,6 +66,8 @@
 	// adds fraction, and is admitted if the sum reaches 1.
 	fraction [leverid.RankCount]float64
 	carry    [leverid.RankCount]float64
+	// shares divide the admitted work of each rank among organisations.
+	shares [leverid.RankCount]shares
 
 	started, windowStart time.Time
 	// admitted and completed are the seconds of work in the current window;
@@ -85,21 +87,62 @@
 	refusedLimit      float64
 }
 
-// Admit counts offered work, in seconds, and reports whether it is admitted.
+// Request is work that is offered to a Limiter.
+type Request struct {
+	Rank leverid.Rank
+	// Work is in seconds.
+	Work float64
+	// Organisation is the one that the request belongs to, if any. Weight is its share
+	// of the rank's work relative to that of others, or 0 for the mean of theirs.
+	Organisation leverid.OrganisationID
+	Weight       float64
+	// Content is the same if a request that was refused returns.
+	Content leverid.Fingerprint
+}
+
+// Admission is the decision on a Request.
+type Admission struct {
+	Admitted bool
+	// RetryAfter is the time after which there is capacity for the request, if it was
+	// refused; 0 if that is not known.
+	RetryAfter time.Duration
+}
+
+// Admit counts offered work without an organisation, in seconds, and reports whether it
+// is admitted.
 func (l *Limiter) Admit(rank leverid.Rank, work float64, now time.Time) bool {
+	return l.AdmitRequest(&Request{Rank: rank, Work: work}, now).Admitted
+}
+
+// AdmitRequest counts an offered request and decides whether it is admitted. While the
+// work of a rank is limited and several organisations are active, they share it.
+func (l *Limiter) AdmitRequest(r *Request, now time.Time) Admission {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance(now)
-	l.demand.AddWork(rank, work, now)
-	if l.limit > 0 && l.fraction[rank] < 1 {
-		l.carry[rank] += l.fraction[rank]
-		if l.carry[rank] < 1 {
-			return false
+	s := &l.shares[r.Rank]
+	limited := l.limit > 0 && l.fraction[r.Rank] < 1
+	if early := s.returns.early(r, now); limited && early > 0 {
+		// It was counted when it was refused.
+		return Admission{RetryAfter: early}
+	}
+	l.demand.AddWork(r.Rank, r.Work, now)
+	a := s.offer(r, now)
+	due := a != nil && s.returns.take(r, a)
+	switch {
+	case !limited:
+	case a == nil || s.active < 2 || s.grant == 0:
+		l.carry[r.Rank] += l.fraction[r.Rank]
+		if l.carry[r.Rank] < 1 && !due {
+			return Admission{}
 		}
-		l.carry[rank]--
+		// A request that was told to return now is admitted in advance.
+		l.carry[r.Rank] = max(l.carry[r.Rank]-1, -1)
+	case !s.admit(r, a, due, now):
+		return Admission{RetryAfter: s.returns.promise(r, a, now)}
 	}
-	l.admitted += work
-	return true
+	l.admitted += r.Work
+	return Admission{Admitted: true}
 }
 
 // Observe records the end of a call for one part of a request with the given
@@ -157,6 +200,13 @@
 		l.limit, l.limitedByRefusals = 0, false
 	}
 	l.updateFractions(demand)
+	for r := range l.shares {
+		grant := -1.0
+		if l.limit > 0 && l.fraction[r] < 1 {
+			grant = l.fraction[r] * demand[r]
+		}
+		l.shares[r].update(grant, elapsed.Seconds(), now)
+	}
 	l.windowStart, l.admitted, l.completed, l.calls, l.slow, l.refused = now, 0, 0, 0, 0, 0
 	clear(l.completedByPart)
 }
