internal/levercold, leverengine: a bound for cold upstreams, by fixed shares

Upstreams are slow until their caches have filled, and a fleet that takes a new one for idle sends it more than it can serve. Services have coldStartS and coldPerS, and an upstream says by coldRemainingMs and X-Cold-Ms that it is cold.

The engine declares ColdLimit. levercold implements it without messages: the B = floor(coldPerS x coldExcess + coldSlack) requests of any second are divided in whole places over the listed VMs by power and a hash, and a place is free again one second after the response, which comes after the arrival; so each place has at most one arrival in a second. A VM uses the least of its parts by all lists of the last 30 s, only if it was listed for that long or its fleet started together, and only within 26 s of its last path to the store. All VMs that use a part then know one common list, by which the parts add up to B. The places outlast a run of an upstream. A cold upstream without a place is no candidate; if there is no other, a request waits for up to 150 ms or is refused with the time until a place is free. Without coldPerS nothing is counted.

TestSharesOfFleet plays joins, removals and cuts; with the last list only, or without the lease, it finds 22 and 23 of 20. TestColdBound reaches at least the rate with 1, 3 and 73 VMs and never more than B. In the fleet on virtual time, 6 cases of faults keep the bound from 1 s after the start; before the entry or a first response arrives a VM can't know, except by refused connections.

--- a/internal/leverdirectory/config.go
+++ b/internal/leverdirectory/config.go
@@ -84,6 +84,10 @@
 	// MaxConnections is the maximum number of connections that one upstream
 	// accepts from all VMs together.
 	MaxConnections int
+	// ColdStart is how long its upstreams are cold after their start. While they are, each
+	// of them is sent about ColdRate requests per second; there is no bound if that is 0.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Limits bound what a caller may send and how long it may take.
--- a/internal/leverdirectory/directory.go
+++ b/internal/leverdirectory/directory.go
@@ -1,6 +1,8 @@
 package leverdirectory
 
 import (
+	"iter"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +23,8 @@
 	// ColdFor is how much longer the upstream is slow after its start, counted
 	// from when the entry was written.
 	ColdFor time.Duration
+	// ColdEntry distinguishes entries that state the same ColdFor. It is 0 if ColdFor is.
+	ColdEntry int64 `msgpack:",omitempty"`
 	// Born distinguishes runs under the same ID.
 	Born int64
 }
@@ -52,6 +56,9 @@
 // evacuated failure domain.
 func (v *View) Upstreams(s leverid.ServiceID) []*Upstream { return v.byService[s] }
 
+// All returns all listed upstreams, including draining ones.
+func (v *View) All() iter.Seq[*Upstream] { return maps.Values(v.byKey) }
+
 // Contains reports whether an upstream is listed, including draining ones.
 func (v *View) Contains(k Key) bool { return v.byKey[k] != nil }
 
--- a/internal/leverengine/attempt.go
+++ b/internal/leverengine/attempt.go
@@ -31,6 +31,7 @@
 	handled bool
 	// departure is set while the upstream is about to end.
 	departure departure
+	cold      coldPlace
 
 	// The following are set when the call has ended.
 
@@ -95,6 +96,7 @@
 		return errors.Errorf("response comes from shard %q", s)
 	}
 	a.recordBlock()
+	a.recordCold()
 	return nil
 }
 
@@ -112,6 +114,7 @@
 	} else {
 		f.waiting.Add(-1)
 	}
+	a.endCold(now)
 	if a.extra && (a.kind == leverhealth.Withdrawn || a.kind == leverhealth.Refused) {
 		// An attempt that was never sent is no extra one.
 		f.engine.Budget.Return(a.candidates.service, a.started, now)
--- a/internal/leverengine/block.go
+++ b/internal/leverengine/block.go
@@ -91,7 +91,7 @@
 
 // anyBlocked reports whether wait may return a time other than 0 for any service.
 func (e *Engine) anyBlocked() bool {
-	return e.Health.AnyBlocked() || e.Directory.View().AnyWithdrawn()
+	return e.Health.AnyBlocked() || e.anyCold() || e.Directory.View().AnyWithdrawn()
 }
 
 // wait returns how long no upstream of a service takes requests from this VM: 0 if one
@@ -101,14 +101,16 @@
 	if view.Withdrawn(s) {
 		return withdrawnWait
 	}
-	if !e.Health.AnyBlocked() {
+	if !e.Health.AnyBlocked() && !e.anyCold() {
 		return 0
 	}
 	shortest := time.Duration(0)
 	for _, u := range view.Upstreams(s) {
 		d := e.Health.Wait(u, now)
 		if d == 0 {
-			return 0
+			if d = e.coldWait(u, now); d <= coldPatience {
+				return 0
+			}
 		}
 		if shortest == 0 || d < shortest {
 			shortest = d
--- a/internal/leverengine/choose.go
+++ b/internal/leverengine/choose.go
@@ -19,7 +19,9 @@
 // that estimate.
 func (f *fanout) pickUpstream(p *part, now time.Time) (*leverdirectory.Upstream, time.Duration) {
 	c := p.candidates()
-	return f.pick(&c, now, func(*leverdirectory.Upstream) bool { return true })
+	return f.reserve(func() (*leverdirectory.Upstream, time.Duration) {
+		return f.pick(&c, now, func(*leverdirectory.Upstream) bool { return true })
+	}, now)
 }
 
 // pick returns the accepted candidate with the shortest estimated response time, and
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -58,6 +58,8 @@
 	Delegate Delegate
 	// Brancher, if set, may run parts of fan-outs on other VMs.
 	Brancher Brancher
+	// Cold, if set, bounds the requests to upstreams that are cold.
+	Cold ColdLimit
 	// Returns, if set, limits the requests to upstreams in failure domains whose
 	// evacuation has just ended.
 	Returns Returns
@@ -255,6 +257,9 @@
 	for _, k := range e.Health.Retain(view.Contains, e.Timer.Now()) {
 		e.Log.Info("an upstream that was leaving is gone", "upstream", k.ID, "address", k.Address, "born", k.Born)
 	}
+	if e.Cold != nil {
+		e.Cold.Update(view, e.Timer.Now())
+	}
 	if e.Returns != nil {
 		e.Returns.Update(view.EvacuatedDomains(), e.Timer.Now())
 		e.blocked.send()
--- a/internal/leverengine/evacuation.go
+++ b/internal/leverengine/evacuation.go
@@ -26,11 +26,14 @@
 	Admits(u *leverdirectory.Upstream, id leverid.RequestID, now time.Time) bool
 }
 
-// eligible returns the upstreams of a service that the attempt may be sent to. Those in
-// returning failure domains are left out of most requests as long as others can take
-// them.
+// eligible returns the upstreams of a service that the attempt may be sent to: those with
+// room for a request if they are cold. Those in returning failure domains are left out of
+// most requests as long as others can take them.
 func (f *fanout) eligible(c *candidates, now time.Time) []*leverdirectory.Upstream {
 	all := f.engine.Directory.View().Upstreams(c.service)
+	if f.engine.anyCold() {
+		all = slices.DeleteFunc(slices.Clone(all), func(u *leverdirectory.Upstream) bool { return f.engine.coldWait(u, now) > 0 })
+	}
 	r := f.engine.Returns
 	if r == nil || !r.Any(now) {
 		return all
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -80,6 +80,8 @@
 	waiting atomic.Int64
 	// attempts holds all attempts, including those that have ended.
 	attempts []*attempt
+	// reserved is a cold upstream at which a place has been taken for the next attempt.
+	reserved *leverdirectory.Upstream
 	// departing is set once an attempt was at an upstream that is about to end.
 	departing bool
 }
@@ -206,6 +208,7 @@
 	}
 	for {
 		now := f.engine.Timer.Now()
+		f.returnReserved(now)
 		blocked := f.watchBlocks(now)
 		if out := f.conclude(now); out != nil {
 			return out
@@ -238,6 +241,7 @@
 // reusable and updates the upstream's health statistics.
 func (f *fanout) finish() {
 	f.endBranches(BranchCall.Finish)
+	f.returnReserved(f.engine.Timer.Now())
 	if f.unjudged != nil {
 		f.judge(*f.unjudged, f.engine.Timer.Now())
 	}
@@ -329,6 +333,7 @@
 	p := &f.parts[i]
 	a := &attempt{fanout: f, part: i, candidates: p.candidates(), extra: extra, started: now, preferred: placement{u, now}}
 	a.placed.Store(&a.preferred)
+	f.useReserved(a, u)
 	f.attempts = append(f.attempts, a)
 	p.attempts = append(p.attempts, a)
 	p.inFlight++
--- a/internal/leverengine/place.go
+++ b/internal/leverengine/place.go
@@ -55,6 +55,9 @@
 func (a *attempt) Place(u *leverdirectory.Upstream) {
 	e := a.fanout.engine
 	p := a.placed.Load()
+	if e.Cold != nil {
+		a.moveCold(u, e.Timer.Now())
+	}
 	switch {
 	case p == nil && u == nil, p != nil && p.upstream == u:
 		return
@@ -86,6 +89,16 @@
 	if !slices.ContainsFunc(f.eligible(&a.candidates, now), usable) {
 		return nil
 	}
+	for {
+		u := a.chooseOnce(now, hasRoom)
+		if a.takeChosen(u, now) {
+			return u
+		}
+	}
+}
+
+func (a *attempt) chooseOnce(now time.Time, hasRoom func(*leverdirectory.Upstream) bool) *leverdirectory.Upstream {
+	f := a.fanout
 	health, least := f.engine.Health, leverhealth.AvoidUnreachable
 	f.pick(&a.candidates, now, func(u *leverdirectory.Upstream) bool {
 		least = min(least, health.Avoidance(u, f.class, now))
--- a/internal/leverengine/request.go
+++ b/internal/leverengine/request.go
@@ -224,6 +224,9 @@
 	// that is no time.
 	RetryAfter string
 	Pause      time.Duration
+	// ColdFor is for how long the upstream says that it is cold, if ColdKnown is set.
+	ColdFor   time.Duration
+	ColdKnown bool
 	// Encoded reports that the body has a content encoding, so that it is not
 	// what the upstream sent.
 	Encoded bool
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -11,6 +11,7 @@
 
 	"arbutuslever.dev/lever/internal/leverbranch"
 	"arbutuslever.dev/lever/internal/leverbudget"
+	"arbutuslever.dev/lever/internal/levercold"
 	"arbutuslever.dev/lever/internal/levercrash"
 	"arbutuslever.dev/lever/internal/leverdelegate"
 	"arbutuslever.dev/lever/internal/leverdirectory"
@@ -75,6 +76,9 @@
 	// OnConfig, if set, is called when a configuration built by Compose has come
 	// into force.
 	OnConfig func()
+	// Cold bounds the requests to cold upstreams of services whose configuration asks for
+	// it.
+	Cold levercold.Terms
 	// Evacuations, if set, is the collection of the evacuated failure domains.
 	Evacuations leverfeed.Source[leverid.Domain]
 	Log         leverlog.Logger
@@ -120,6 +124,8 @@
 	configs   *leverfeed.Follower[*leverdirectory.Config]
 	upstreams *leverfeed.Follower[leverdirectory.Upstream]
 	vms       *leverfeed.Follower[levermsg.VM]
+	// coldShares are this VM's parts of the requests to cold upstreams.
+	coldShares *levercold.Shares
 	// evacuations is nil if the VM takes no notice of evacuations.
 	evacuations *leverfeed.Follower[leverid.Domain]
 	// evacuationsConfirmed is when the copy of the evacuations was last compared with
@@ -162,6 +168,8 @@
 		ConnectionShares: n.shares, Current: n.mirror.Current, Crashes: &levercrash.Guard{}, OnCrashLevel: n.queueCrashReport, CrashReports: n.crashes, Metrics: o.Metrics,
 		DrainTime: o.DrainTime, MaxInFlight: o.MaxInFlight, MaxConnsPerUpstream: o.MaxConnsPerUpstream, Events: n.events,
 	}
+	n.coldShares = &levercold.Shares{Self: o.Self.ID}
+	n.engine.Cold = &levercold.Limit{Terms: o.Cold, Shares: n.coldShares}
 	directory.OnChange = n.directoryChanged
 	n.initPeers()
 	n.initFeeds()
--- a/internal/levernode/share.go
+++ b/internal/levernode/share.go
@@ -50,6 +50,7 @@
 	if !slices.Equal(list, s.list) || config != s.config {
 		*s = extraShare{list, config, n.computeShare(list), isFounding(list, n.opts.Self.ID)}
 	}
+	n.coldShares.Renew(list, s.founding && n.isNew.Load(), n.timer.Now())
 	if s.share > 0 {
 		n.budget.SetFounding(s.founding && n.isNew.Load())
 		n.budget.SetShare(s.share, n.timer.Now())
