internal/leverdirectory, leverengine, leverdelegate: home regions

Requests of some routes and organisations may be processed in certain regions only, including their bodies on the way.

Routes and tenants have allowedRegions; both apply if both have them. The settings' zones give the region of each zone. An upstream outside is no candidate, one whose region is not known neither. Requests carry their homes to runners and branches, which add those of their own configuration. A runner must be in a home region: one of the VM's own failure domain or else one of another. The parts of branches that would go abroad stay at the VM that divides the request. A service without an upstream at home is refused at once. Messages and decisions without homes are those of before.

--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -125,7 +125,7 @@
 			ID: leverid.VMID(s.Node), Domain: leverid.Domain(s.Zone), Peer: s.Listen.Control, Caller: s.Listen.Front,
 			State: levermsg.Live, Power: s.Power(),
 		},
-		Store: store, Evacuations: evacuations, Cold: s.ColdTerms(),
+		Store: store, Evacuations: evacuations, Cold: s.ColdTerms(), Regions: s.Regions(),
 		Protocol: platform.Protocol{}, Log: log, PeerKeys: leverpeer.NewKeys(s.Platform.Address),
 		Seeds: seeds(s), Terms: budgetTerms(s), Metrics: e.metrics, MaxInFlight: s.Limits.MemoryMB * inFlightPerMB,
 		MaxBodyBytes: int64(bodyFraction * float64(s.Limits.MemoryMB<<20)), DrainTime: time.Duration(s.Bounds.DrainMS) * time.Millisecond,
--- a/internal/levercold/limit.go
+++ b/internal/levercold/limit.go
@@ -65,7 +65,7 @@
 // run may start within a second after another.
 type state struct {
 	// run is the last run that was listed.
-	run leverdirectory.Key
+	run       leverdirectory.Key
 	coldUntil time.Time
 	// stated and entry are what the store's entry said last.
 	stated time.Duration
--- a/internal/leverdelegate/delegate.go
+++ b/internal/leverdelegate/delegate.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -120,6 +121,8 @@
 	mu      sync.Mutex
 	live    []levermsg.VM
 	runners []levermsg.VM
+	// allRunners are those of all failure domains.
+	allRunners []levermsg.VM
 	// fleetRunners is the number of runners in all failure domains together.
 	fleetRunners     int
 	quarantinedUntil map[leverid.VMID]time.Time
@@ -163,7 +166,7 @@
 		return
 	}
 	d.live = live
-	d.runners = nil
+	d.runners, d.allRunners = nil, nil
 	d.isRunner = false
 	if len(live) < minFleet {
 		return
@@ -179,12 +182,17 @@
 	d.fleetRunners = len(fleetRunners)
 	d.isRunner = fleetRunners[d.Self.ID]
 	d.runners = chooseRunners(ranked, d.Self.Domain, maxPower)
+	for _, vm := range ranked {
+		if fleetRunners[vm.ID] {
+			d.allRunners = append(d.allRunners, vm)
+		}
+	}
 }
 
 // Run runs a request on a runner. It returns false if this VM must run the
 // request itself.
 func (d *Delegate) Run(ctx context.Context, req *leverengine.Request, v leverid.ConfigVersion, attempts int) (*leverengine.Outcome, bool) {
-	for _, vm := range d.candidates() {
+	for _, vm := range d.candidates(req) {
 		out, err := d.ask(ctx, vm, req, v)
 		if err == nil {
 			return out, true
@@ -211,9 +219,22 @@
 	return &leverengine.Outcome{Verdict: leverengine.MayHaveRun, MaybeRan: true, Reason: err.Error()}
 }
 
+// home returns the VMs, of this failure domain's runners or, if there are none, of all
+// runners, that may receive a request.
+func (d *Delegate) home(req *leverengine.Request) []levermsg.VM {
+	if req.Homes == nil {
+		return d.runners
+	}
+	abroad := func(vm levermsg.VM) bool { return !d.Engine.MayReceive(req, vm) }
+	if out := slices.DeleteFunc(slices.Clone(d.runners), abroad); len(out) > 0 {
+		return out
+	}
+	return slices.DeleteFunc(slices.Clone(d.allRunners), abroad)
+}
+
 // candidates returns the runners to try, in order and without those in
 // quarantine. It returns none if this VM is a runner.
-func (d *Delegate) candidates() []levermsg.VM {
+func (d *Delegate) candidates(req *leverengine.Request) []levermsg.VM {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.refresh()
@@ -223,8 +244,9 @@
 	now := d.Timer.Now()
 	var out []levermsg.VM
 	d.rotation++
-	for i := range d.runners {
-		vm := d.runners[(int(d.rotation%uint64(len(d.runners)))+i)%len(d.runners)]
+	runners := d.home(req)
+	for i := range runners {
+		vm := runners[(int(d.rotation%uint64(len(runners)))+i)%len(runners)]
 		if now.After(d.quarantinedUntil[vm.ID]) {
 			out = append(out, vm)
 		}
--- a/internal/leverdirectory/config.go
+++ b/internal/leverdirectory/config.go
@@ -57,6 +57,8 @@
 	Rank      leverid.Rank
 	// Public routes need no key.
 	Public bool
+	// Homes are the regions in which the route's requests may be processed.
+	Homes Homes
 	// Room names the capacity that routes with the same upstreams share. If it
 	// is empty, the first service names it.
 	Room leverid.ServiceID
--- a/internal/leverdirectory/organisation.go
+++ b/internal/leverdirectory/organisation.go
@@ -32,6 +32,8 @@
 	// Rate is the number of requests per second, and Burst the number in addition to
 	// that, that all VMs together admit. There is no limit if Rate is 0.
 	Rate, Burst float64
+	// Homes are the regions in which its requests may be processed.
+	Homes Homes
 }
 
 // Organisation returns the organisation that holds a key, or nil.
--- a/internal/leverengine/block.go
+++ b/internal/leverengine/block.go
@@ -90,15 +90,17 @@
 }
 
 // anyBlocked reports whether wait may return a time other than 0 for any service.
-func (e *Engine) anyBlocked() bool {
-	return e.Health.AnyBlocked() || e.anyCold() || e.Directory.View().AnyWithdrawn()
+func (f *fanout) anyBlocked() bool {
+	e := f.engine
+	return e.Health.AnyBlocked() || e.anyCold() || e.Directory.View().AnyWithdrawn() || f.req.Homes != nil
 }
 
-// wait returns how long no upstream of a service takes requests from this VM: 0 if one
+// wait returns how long no upstream of a service takes the request from this VM: 0 if one
 // does or none is known.
-func (e *Engine) wait(s leverid.ServiceID, now time.Time) time.Duration {
+func (f *fanout) wait(s leverid.ServiceID, now time.Time) time.Duration {
+	e := f.engine
 	view := e.Directory.View()
-	if view.Withdrawn(s) {
+	if view.Withdrawn(s) || f.isAbroad(s) {
 		return withdrawnWait
 	}
 	if !e.Health.AnyBlocked() && !e.anyCold() {
@@ -106,6 +108,9 @@
 	}
 	shortest := time.Duration(0)
 	for _, u := range view.Upstreams(s) {
+		if !f.isHome(u) {
+			continue
+		}
 		d := e.Health.Wait(u, now)
 		if d == 0 {
 			if d = e.coldWait(u, now); d <= coldPatience {
@@ -119,7 +124,7 @@
 	return shortest
 }
 
-func (f *fanout) isBlocked(s leverid.ServiceID, now time.Time) bool { return f.engine.wait(s, now) > 0 }
+func (f *fanout) isBlocked(s leverid.ServiceID, now time.Time) bool { return f.wait(s, now) > 0 }
 
 // watchBlocks withdraws the attempts that wait while no upstream takes requests. If
 // others wait, it returns a channel that is closed when that may have changed.
@@ -128,7 +133,7 @@
 		return nil
 	}
 	next := f.engine.blocked.next()
-	if !f.engine.anyBlocked() {
+	if !f.anyBlocked() {
 		return next
 	}
 	for _, a := range f.attempts {
@@ -142,13 +147,13 @@
 // partWaits returns how long the parts whose upstreams take no requests have to wait,
 // in ascending order.
 func (f *fanout) partWaits(now time.Time) []time.Duration {
-	if !f.engine.anyBlocked() {
+	if !f.anyBlocked() {
 		return nil
 	}
 	var waits []time.Duration
 	for i := range f.parts {
 		if p := &f.parts[i]; !p.done && !p.branched {
-			if d := f.engine.wait(p.service, now); d > 0 {
+			if d := f.wait(p.service, now); d > 0 {
 				waits = append(waits, d)
 			}
 		}
--- a/internal/leverengine/branch.go
+++ b/internal/leverengine/branch.go
@@ -144,7 +144,7 @@
 	if e.Brancher == nil || f.sub != nil || !f.gather || f.trial || f.route.RecordBytes == 0 {
 		return nil
 	}
-	plan := e.Brancher.Plan(f.route, f.view)
+	plan := f.homeBranches(e.Brancher.Plan(f.route, f.view))
 	for _, b := range plan {
 		for _, k := range b.Parts {
 			f.parts[k].branched, f.parts[k].awaited = true, true
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -58,6 +58,8 @@
 	Delegate Delegate
 	// Brancher, if set, may run parts of fan-outs on other VMs.
 	Brancher Brancher
+	// Regions holds the regions of the failure domains.
+	Regions leverdirectory.Regions
 	// Cold, if set, bounds the requests to upstreams that are cold.
 	Cold ColdLimit
 	// Returns, if set, limits the requests to upstreams in failure domains whose
@@ -138,6 +140,7 @@
 	if out != nil {
 		return e.recordUnrouted(req, view, out)
 	}
+	req.Homes = homesOf(req, route, o)
 	route = req.Overrides.apply(route)
 	if out := e.refuseLate(req, route); out != nil {
 		return out
@@ -158,6 +161,7 @@
 	if out != nil {
 		return e.recordUnrouted(req, view, out)
 	}
+	req.Homes = homesOf(req, route, nil)
 	route = req.Overrides.apply(route)
 	if out := e.refuseLate(req, route); out != nil {
 		return out
--- a/internal/leverengine/evacuation.go
+++ b/internal/leverengine/evacuation.go
@@ -34,6 +34,9 @@
 	if f.engine.anyCold() {
 		all = slices.DeleteFunc(slices.Clone(all), func(u *leverdirectory.Upstream) bool { return f.engine.coldWait(u, now) > 0 })
 	}
+	if f.req.Homes != nil {
+		all = slices.DeleteFunc(slices.Clone(all), func(u *leverdirectory.Upstream) bool { return !f.isHome(u) })
+	}
 	r := f.engine.Returns
 	if r == nil || !r.Any(now) {
 		return all
--- a/internal/leverengine/forward.go
+++ b/internal/leverengine/forward.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"arbutuslever.dev/lever/internal/leverdirectory"
 	"arbutuslever.dev/lever/internal/leverid"
 )
 
@@ -25,6 +26,9 @@
 	Overrides     *Overrides    `msgpack:"x,omitempty"`
 	// Organisation is the one that the first VM has found for the caller's key.
 	Organisation leverid.OrganisationID `msgpack:"o,omitempty"`
+	// Homes are the regions in which the request may be processed. It is never empty
+	// without being nil, as no VM receives such a request.
+	Homes leverdirectory.Homes `msgpack:"g,omitempty"`
 }
 
 // Forward returns the message for a request that is sent at the given time.
@@ -32,7 +36,7 @@
 	return Forwarded{
 		ID: r.ID, Method: r.Method, Host: r.Host, URI: r.URI, Path: r.Path, Header: r.Header, Body: r.Body,
 		CallerTimeout: r.CallerTimeout, Age: now.Sub(r.Received), PriorAttempts: r.PriorAttempts, Overrides: r.Overrides,
-		Organisation: r.Organisation,
+		Organisation: r.Organisation, Homes: r.Homes,
 	}
 }
 
@@ -41,6 +45,6 @@
 	return &Request{
 		ID: f.ID, Method: f.Method, Host: f.Host, URI: f.URI, Path: f.Path, Header: f.Header, Body: f.Body,
 		CallerTimeout: f.CallerTimeout, Received: now.Add(-f.Age), PriorAttempts: f.PriorAttempts, Overrides: f.Overrides,
-		Organisation: f.Organisation,
+		Organisation: f.Organisation, Homes: f.Homes,
 	}
 }
--- a/internal/leverengine/move.go
+++ b/internal/leverengine/move.go
@@ -114,7 +114,7 @@
 // allDepart reports whether no upstream of a part's service stays.
 func (f *fanout) allDepart(p *part, now time.Time) bool {
 	for _, u := range f.engine.Directory.View().Upstreams(p.service) {
-		if !f.engine.departs(u, now) {
+		if f.isHome(u) && !f.engine.departs(u, now) {
 			return false
 		}
 	}
--- a/internal/leverengine/request.go
+++ b/internal/leverengine/request.go
@@ -34,6 +34,9 @@
 	// Organisation is the one that holds Key, once the engine has looked it up. It is
 	// empty if the configuration has none, or if the route is public.
 	Organisation leverid.OrganisationID
+	// Homes are the regions in which the request may be processed. The engine adds those
+	// of the route and of the organisation.
+	Homes leverdirectory.Homes
 	// SetOrganisation, if set, removes the caller's key and its own claims of an
 	// organisation from the headers, and adds the organisation unless it is empty. It
 	// is called if the configuration requires keys.
--- a/internal/leverengine/subfanout.go
+++ b/internal/leverengine/subfanout.go
@@ -66,6 +66,7 @@
 		report(&BranchReport{Final: true, Reason: reason})
 		return
 	}
+	r.Homes = homesOf(r.Request, route, nil)
 	f := e.newFanout(r.Request, view, r.Overrides.apply(route), r)
 	f.sub.report = report
 	out := f.runGuarded(ctx)
--- a/internal/leverid/id.go
+++ b/internal/leverid/id.go
@@ -16,6 +16,9 @@
 // Domain identifies a failure domain.
 type Domain string
 
+// Region identifies a region, which holds failure domains.
+type Region string
+
 // OrganisationID is the name of an organisation, whose callers share an allowance.
 type OrganisationID string
 
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -79,6 +79,8 @@
 	// Cold bounds the requests to cold upstreams of services whose configuration asks for
 	// it.
 	Cold levercold.Terms
+	// Regions holds the regions of the failure domains.
+	Regions leverdirectory.Regions
 	// Evacuations, if set, is the collection of the evacuated failure domains.
 	Evacuations leverfeed.Source[leverid.Domain]
 	Log         leverlog.Logger
@@ -166,7 +168,7 @@
 		Domain: o.Self.Domain, Timer: n.timer, Log: o.Log.For("engine"), Directory: directory,
 		Health: &leverhealth.Tracker{}, Budget: n.budget, Pool: &leverpool.Pool{Dial: o.Dial, MaxBodyBytes: o.MaxBodyBytes}, Protocol: o.Protocol,
 		ConnectionShares: n.shares, Current: n.mirror.Current, Crashes: &levercrash.Guard{}, OnCrashLevel: n.queueCrashReport, CrashReports: n.crashes, Metrics: o.Metrics,
-		DrainTime: o.DrainTime, MaxInFlight: o.MaxInFlight, MaxConnsPerUpstream: o.MaxConnsPerUpstream, Events: n.events,
+		DrainTime: o.DrainTime, Regions: o.Regions, MaxInFlight: o.MaxInFlight, MaxConnsPerUpstream: o.MaxConnsPerUpstream, Events: n.events,
 	}
 	n.coldShares = &levercold.Shares{Self: o.Self.ID}
 	n.engine.Cold = &levercold.Limit{Terms: o.Cold, Shares: n.coldShares}
