--- a/internal/leverdirectory/config.go
+++ b/internal/leverdirectory/config.go
@@ -55,6 +55,8 @@
 	Rank      leverid.Rank
 	// Public routes need no key.
 	Public bool
+	// Homes are the regions in which the route's requests may be processed.
+	Homes Homes
 	// Room names the capacity that routes with the same upstreams share. If it
 	// is empty, the first service names it.
 	Room leverid.ServiceID
@@ -82,6 +84,10 @@
 	// MaxConnections is the maximum number of connections that one upstream
 	// accepts from all VMs together.
 	MaxConnections int
+	// ColdStart is how long its upstreams are cold after their start. While they are, each
+	// of them is sent about ColdRate requests per second; there is no bound if that is 0.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Limits bound what a caller may send and how long it may take.
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -60,6 +60,10 @@
 	Brancher Brancher
 	// RefuseKeys, if set, returns why requests that need a key are refused now, or "".
 	RefuseKeys func() string
+	// Regions holds the regions of the failure domains.
+	Regions leverdirectory.Regions
+	// Cold, if set, bounds the requests to upstreams that are cold.
+	Cold ColdLimit
 	// Returns, if set, limits the requests to upstreams in failure domains whose
 	// evacuation has just ended.
 	Returns Returns
@@ -138,6 +142,7 @@
 	if out != nil {
 		return e.recordUnrouted(req, view, out)
 	}
+	req.Homes = homesOf(req, route, o)
 	route = req.Overrides.apply(route)
 	if out := e.refuseLate(req, route); out != nil {
 		return out
@@ -158,6 +163,7 @@
 	if out != nil {
 		return e.recordUnrouted(req, view, out)
 	}
+	req.Homes = homesOf(req, route, nil)
 	route = req.Overrides.apply(route)
 	if out := e.refuseLate(req, route); out != nil {
 		return out
@@ -257,6 +263,9 @@
 	for _, k := range e.Health.Retain(view.Contains, e.Timer.Now()) {
 		e.Log.Info("an upstream that was leaving is gone", "upstream", k.ID, "address", k.Address, "born", k.Born)
 	}
+	if e.Cold != nil {
+		e.Cold.Update(view, e.Timer.Now())
+	}
 	if e.Returns != nil {
 		e.Returns.Update(view.EvacuatedDomains(), e.Timer.Now())
 		e.blocked.send()
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -12,6 +12,7 @@
 	"arbutuslever.dev/lever/internal/leverallow"
 	"arbutuslever.dev/lever/internal/leverbranch"
 	"arbutuslever.dev/lever/internal/leverbudget"
+	"arbutuslever.dev/lever/internal/levercold"
 	"arbutuslever.dev/lever/internal/levercrash"
 	"arbutuslever.dev/lever/internal/leverdelegate"
 	"arbutuslever.dev/lever/internal/leverdirectory"
@@ -79,6 +80,11 @@
 	// OnConfig, if set, is called when a configuration built by Compose has come
 	// into force.
 	OnConfig func()
+	// Cold bounds the requests to cold upstreams of services whose configuration asks for
+	// it.
+	Cold levercold.Terms
+	// Regions holds the regions of the failure domains.
+	Regions leverdirectory.Regions
 	// Evacuations, if set, is the collection of the evacuated failure domains.
 	Evacuations leverfeed.Source[leverid.Domain]
 	Log         leverlog.Logger
@@ -127,6 +133,8 @@
 	configs   *leverfeed.Follower[*leverdirectory.Config]
 	upstreams *leverfeed.Follower[leverdirectory.Upstream]
 	vms       *leverfeed.Follower[levermsg.VM]
+	// coldShares are this VM's parts of the requests to cold upstreams.
+	coldShares *levercold.Shares
 	// evacuations is nil if the VM takes no notice of evacuations.
 	evacuations *leverfeed.Follower[leverid.Domain]
 	// evacuationsConfirmed is when the copy of the evacuations was last compared with
@@ -175,8 +183,10 @@
 		Domain: o.Self.Domain, Timer: n.timer, Log: o.Log.For("engine"), Directory: directory,
 		Health: &leverhealth.Tracker{}, Budget: n.budget, Pool: &leverpool.Pool{Dial: o.Dial, MaxBodyBytes: o.MaxBodyBytes}, Protocol: o.Protocol,
 		ConnectionShares: n.shares, Current: n.mirror.Current, Crashes: &levercrash.Guard{}, OnCrashLevel: n.queueCrashReport, CrashReports: n.crashes, Metrics: o.Metrics,
-		RefuseKeys: n.refuseKeys, DrainTime: o.DrainTime, MaxInFlight: o.MaxInFlight, MaxConnsPerUpstream: o.MaxConnsPerUpstream, Events: n.events,
+		RefuseKeys: n.refuseKeys, DrainTime: o.DrainTime, Regions: o.Regions, MaxInFlight: o.MaxInFlight, MaxConnsPerUpstream: o.MaxConnsPerUpstream, Events: n.events,
 	}
+	n.coldShares = &levercold.Shares{Self: o.Self.ID}
+	n.engine.Cold = &levercold.Limit{Terms: o.Cold, Shares: n.coldShares}
 	directory.OnChange = n.directoryChanged
 	n.initPeers()
 	n.initFeeds()
