internal/leverallow: suspension, hints and compact messages

Cause: a manager that stood still for 0.3 s lost its buckets, VMs that restarted did not find a manager outside of the candidates, and messages had 190 to 230 bytes. Change: a pool whose votes end together keeps its buckets until they return, replies name the manager of groups, and integers are encoded in as few bytes as they need.

--- a/internal/leverallow/allowance.go
+++ b/internal/leverallow/allowance.go
@@ -20,7 +20,7 @@
 const (
 	// tick is how often an Allowance looks for messages to send. It divides
 	// renewInterval.
-	tick = 100 * time.Millisecond
+	tick = 50 * time.Millisecond
 	// exchangeTimeout limits the time for a message and its reply. Later, the manager
 	// is suspect.
 	exchangeTimeout = suspectAfter
@@ -74,7 +74,7 @@
 	// The zero value stands for no process.
 	boot := rand.Uint32() | 1
 	a := &Allowance{Options: o, client: NewClient(o.Terms, o.Self, boot, now)}
-	a.manager = NewManager(o.Terms, boot, a.limit, now)
+	a.manager = NewManager(o.Terms, boot, a.limit, a.holder, now)
 	return a
 }
 
@@ -91,6 +91,10 @@
 	return Limit{c.Version, o.Rate, o.Burst}
 }
 
+func (a *Allowance) holder(group, groups int) leverid.VMID {
+	return a.client.Holder(group, groups, a.Timer.Now())
+}
+
 // on reports whether there is an organisation with a limit.
 func (a *Allowance) on() bool {
 	c := a.Config()
--- a/internal/leverallow/calm_test.go
+++ b/internal/leverallow/calm_test.go
@@ -4,12 +4,15 @@
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverid"
+	"arbutuslever.dev/lever/internal/leverpeer"
 
 	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // zipf returns organisations of Zipf sizes with their usual rates, and limits of 1.6
@@ -91,3 +94,41 @@
 	is.True(s.admittedInAll() > requests*98/100)
 	is.True(slices.Max(s.waits) < 15*time.Millisecond)
 }
+
+// count adds the size of a message and its reply to the bytes, with their frames.
+func (s *sim) count(m *Message, r *Reply) {
+	if !s.countBytes {
+		return
+	}
+	for _, v := range []any{m, r} {
+		body, err := msgpack.Marshal(v)
+		if err != nil {
+			panic(err)
+		}
+		frame, err := leverpeer.AppendFrame(nil, &leverpeer.Frame{Op: 3, Kind: leverpeer.KindAllowance, Call: 1e6, Stamp: 1e15, Config: 1e3, Body: body})
+		if err != nil {
+			panic(err)
+		}
+		s.bytes += len(frame)
+	}
+}
+
+// TestControlTraffic counts the messages and bytes, sent and received, of VMs in calm
+// operation. They must not grow with the fleet.
+func TestControlTraffic(t *testing.T) {
+	for _, vms := range []int{29, 73, 300} {
+		t.Run(strconv.Itoa(vms), func(t *testing.T) {
+			is := is.New(t)
+			orgs, usual := zipf(79, 1.2, 48)
+			s := newSim(1, vms, orgs)
+			s.run(10 * time.Second)
+			s.countBytes = true
+			before := s.messages
+			s.generateAll(usual, s.now+10*time.Second)
+			s.run(s.now + 10*time.Second)
+			messages, bytes := float64(s.messages-before)/10/float64(vms), float64(s.bytes)/10/float64(vms)
+			t.Logf("%.1f messages with replies and %.0f bytes per VM and second", messages, bytes)
+			is.True(bytes < 2048)
+		})
+	}
+}
--- a/internal/leverallow/client.go
+++ b/internal/leverallow/client.go
@@ -1,6 +1,7 @@
 package leverallow
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -34,6 +35,13 @@
 	quietUntil time.Time
 	peers      map[leverid.VMID]*peer
 	wallets    map[leverid.OrganisationID]*wallet
+	// pending holds the wallets with requests that wait or tokens to give back.
+	pending map[leverid.OrganisationID]*wallet
+	// candidates are the possible managers, and order is their order for each group.
+	candidates []leverid.VMID
+	order      [][]leverid.VMID
+	// hints are managers that another VM has named for each group.
+	hints []leverid.VMID
 }
 
 // NewClient returns a client of a process that starts now. boot must differ from that
@@ -41,7 +49,7 @@
 func NewClient(t Terms, self leverid.VMID, boot uint32, now time.Time) *Client {
 	return &Client{
 		terms: t, self: self, boot: boot, standing: standing{start: now},
-		peers: make(map[leverid.VMID]*peer), wallets: make(map[leverid.OrganisationID]*wallet),
+		peers: make(map[leverid.VMID]*peer), wallets: make(map[leverid.OrganisationID]*wallet), pending: make(map[leverid.OrganisationID]*wallet),
 	}
 }
 
@@ -58,7 +66,24 @@
 				c.quietUntil = end
 			}
 		}
-		c.loans = make([]loan, n)
+		c.loans, c.hints = make([]loan, n), make([]leverid.VMID, n)
+		c.candidates = nil
+	}
+	c.rankCandidates()
+}
+
+// rankCandidates orders the candidates for each group if they have changed.
+func (c *Client) rankCandidates() {
+	candidates := c.fleet.candidates()
+	if slices.Equal(candidates, c.candidates) {
+		return
+	}
+	c.candidates = slices.Clone(candidates)
+	c.order = make([][]leverid.VMID, len(c.loans))
+	for g := range c.order {
+		c.order[g] = slices.SortedFunc(slices.Values(c.candidates), func(a, b leverid.VMID) int {
+			return cmp.Compare(rendezvous(g, len(c.loans), b), rendezvous(g, len(c.loans), a))
+		})
 	}
 }
 
@@ -86,6 +111,7 @@
 		return r
 	}
 	w.queue = append(w.queue, r)
+	c.pending[name] = w
 	return r
 }
 
@@ -107,6 +133,7 @@
 		w.returned = tokens{until: now.Add(c.terms.validity())}
 	}
 	w.returned.n++
+	c.pending[name] = w
 }
 
 func (c *Client) wallet(name leverid.OrganisationID) *wallet {
@@ -152,11 +179,27 @@
 		p.sums = r.Sums
 	}
 	p.owes = time.Time{}
+	for _, h := range r.Hints {
+		if int(h.Group) < len(c.hints) && len(r.Sums) == len(c.hints) {
+			c.hints[h.Group] = h.Manager
+		}
+	}
 	for i := range c.loans {
-		if l := &c.loans[i]; l.to == from && l.releaseSeq != 0 && l.releaseSeq == r.Seq {
-			l.until, l.releaseSeq = time.Time{}, 0
+		l := &c.loans[i]
+		if l.to != from || l.boot != r.Boot {
+			continue
+		}
+		if l.releaseSeq != 0 && l.releaseSeq == r.Seq {
+			// The manager has stopped to count the vote.
+			l.to, l.until, l.releaseSeq = "", time.Time{}, 0
+		}
+		if l.firstSeq == r.Seq && !r.Late {
+			l.first = false
 		}
 	}
+	if r.Late && now.Sub(p.late) >= renewInterval/2 {
+		p.lent, p.late = time.Time{}, now
+	}
 	c.distribute(from, r, now)
 }
 
@@ -222,19 +265,48 @@
 // first live candidate by a hash. It returns "" if there is none.
 func (c *Client) choose(g int, now time.Time) leverid.VMID {
 	groups := len(c.loans)
-	candidates := c.fleet.candidates()
-	var best leverid.VMID
-	for _, id := range candidates {
-		if c.usable(id, now) && (best == "" || rendezvous(g, groups, id) > rendezvous(g, groups, best)) {
-			best = id
+	if id := c.loans[g].to; c.hasMajority(id, g, groups, now) {
+		return id
+	}
+	if id := c.majorityOf(g, now); id != "" {
+		return id
+	}
+	for _, id := range c.order[g] {
+		if c.usable(id, now) {
+			return id
 		}
 	}
-	for _, id := range append([]leverid.VMID{c.loans[g].to}, candidates...) {
-		if id != "" && c.usable(id, now) && c.peer(id).sum(g, groups, now) > halfPercent {
+	return ""
+}
+
+// majorityOf returns the candidate that is known to have the majority for a group.
+func (c *Client) majorityOf(g int, now time.Time) leverid.VMID {
+	for _, id := range c.order[g] {
+		if c.hasMajority(id, g, len(c.loans), now) {
 			return id
 		}
 	}
-	return best
+	if id := c.hints[g]; c.hasMajority(id, g, len(c.loans), now) {
+		return id
+	}
+	return ""
+}
+
+// Holder returns the VM that is known to have the majority for a group, or "".
+func (c *Client) Holder(group, groups int, now time.Time) leverid.VMID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if groups != len(c.loans) {
+		return ""
+	}
+	if id := c.loans[group].to; c.hasMajority(id, group, groups, now) {
+		return id
+	}
+	return c.majorityOf(group, now)
+}
+
+func (c *Client) hasMajority(id leverid.VMID, g, groups int, now time.Time) bool {
+	return id != "" && c.peer(id).sum(g, groups, now) > halfPercent && c.usable(id, now)
 }
 
 // usable reports whether a VM is live and answers.
--- a/internal/leverallow/due.go
+++ b/internal/leverallow/due.go
@@ -95,9 +95,12 @@
 		for g := range d.loans {
 			if lendable.has(g) {
 				m.Lend.add(g)
-				if d.loans[g].lend(id, p.boot, d.terms.Window, d.now) {
+				if d.loans[g].lend(id, p.boot, m.Seq, d.terms.Window, d.now) {
 					m.Gift.add(g)
 				}
+				if d.loans[g].first {
+					m.First.add(g)
+				}
 			}
 		}
 	}
@@ -121,17 +124,24 @@
 		if id != "" && d.peer(id).sum(g, len(d.loans), d.now) >= enoughPercent {
 			continue
 		}
-		for _, other := range d.fleet.candidates() {
+		for _, other := range d.candidates {
 			d.greet(other)
 		}
+		for _, other := range d.hints {
+			if other != "" {
+				d.greet(other)
+			}
+		}
 		return
 	}
 }
 
 // ask asks for tokens for the requests that wait.
 func (d *due) ask() {
-	for name, w := range d.wallets {
+	for _, name := range slices.Sorted(maps.Keys(d.pending)) {
+		w := d.pending[name]
 		if len(w.queue) == 0 && w.returned.n == 0 {
+			delete(d.pending, name)
 			continue
 		}
 		to := d.managers[groupOf(name, len(d.loans))]
--- a/internal/leverallow/loan.go
+++ b/internal/leverallow/loan.go
@@ -14,7 +14,7 @@
 	// renewTolerance covers ticks that come a little early.
 	renewTolerance = 10 * time.Millisecond
 	// leaseMargin covers steady clocks that run at different speeds.
-	leaseMargin = 50 * time.Millisecond
+	leaseMargin = 20 * time.Millisecond
 	// giftPause is added to the window between the changes of managers for which a vote
 	// gives handover tokens.
 	giftPause = time.Second
@@ -41,6 +41,10 @@
 	boot uint32
 	// until is when the manager must have stopped to count the vote.
 	until time.Time
+	// first is set until the process has replied to a message that lends it the vote,
+	// and firstSeq is that message.
+	first    bool
+	firstSeq uint32
 	// changed is when the vote was first lent to this process.
 	changed time.Time
 	// releaseSeq is the message that takes the vote back, if not 0.
@@ -52,10 +56,13 @@
 func (l *loan) held(now time.Time) bool { return now.Before(l.until.Add(leaseMargin)) }
 
 // lend records that the vote is lent, and reports whether it may give handover tokens.
-func (l *loan) lend(to leverid.VMID, boot uint32, window time.Duration, now time.Time) (gift bool) {
+func (l *loan) lend(to leverid.VMID, boot, seq uint32, window time.Duration, now time.Time) (gift bool) {
 	if l.to != to || l.boot != boot {
 		gift = l.changed.IsZero() || now.Sub(l.changed) > window+giftPause
-		l.to, l.boot, l.changed = to, boot, now
+		l.to, l.boot, l.changed, l.first = to, boot, now, true
+	}
+	if l.first {
+		l.firstSeq = seq
 	}
 	l.until = now.Add(lease)
 	l.releaseSeq = 0
@@ -69,6 +76,8 @@
 	// heard is when the last reply came, sent when the last message was sent and lent
 	// when the last one that lends votes.
 	heard, sent, lent time.Time
+	// late is when the last reply came that votes were too late to count.
+	late time.Time
 	// owes is when the first message without a reply was sent.
 	owes time.Time
 	sums []byte
--- a/internal/leverallow/manager.go
+++ b/internal/leverallow/manager.go
@@ -45,6 +45,9 @@
 	// limits returns the limit of an organisation by this VM's configuration. It has
 	// the zero version if the configuration does not have the organisation.
 	limits func(leverid.OrganisationID) Limit
+	// holder returns the VM that has the majority for a group as far as this VM knows,
+	// or "".
+	holder func(group, groups int) leverid.VMID
 
 	mu      sync.Mutex
 	pools   map[poolKey]*pool
@@ -78,8 +81,8 @@
 
 // NewManager returns a manager without votes. boot must differ from that of the VM's
 // other processes.
-func NewManager(t Terms, boot uint32, limits func(leverid.OrganisationID) Limit, now time.Time) *Manager {
-	return &Manager{terms: t, boot: boot, start: now, limits: limits, pools: make(map[poolKey]*pool), senders: make(map[leverid.VMID]sender), whole: make(map[poolKey]bool)}
+func NewManager(t Terms, boot uint32, limits func(leverid.OrganisationID) Limit, holder func(group, groups int) leverid.VMID, now time.Time) *Manager {
+	return &Manager{terms: t, boot: boot, start: now, limits: limits, holder: holder, pools: make(map[poolKey]*pool), senders: make(map[leverid.VMID]sender), whole: make(map[poolKey]bool)}
 }
 
 // Reset drops all votes, as after a time in which the steady clock may have stopped.
@@ -94,7 +97,7 @@
 func (m *Manager) Handle(from leverid.VMID, msg *Message, now time.Time) *Reply {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	groups := int(max(msg.Groups, 1))
+	groups := int(min(max(msg.Groups, 1), maxGroups))
 	s := m.senders[from]
 	newest := s.boot != msg.Boot || msg.Seq > s.seq
 	if newest {
@@ -102,15 +105,23 @@
 	}
 	// Taking back a vote is safe however old the message is.
 	m.release(from, msg, groups, now)
+	counted := false
 	if until := m.start.Add(time.Duration(msg.Echo)*time.Millisecond + lease); newest && msg.EchoBoot == m.boot && now.Before(until) {
 		m.count(from, msg, groups, until, now)
+		counted = true
 	}
-	r := &Reply{Boot: m.boot, Stamp: now.Sub(m.start).Milliseconds(), Seq: msg.Seq, Sums: make([]byte, groups)}
+	r := &Reply{Boot: m.boot, Stamp: now.Sub(m.start).Milliseconds(), Seq: msg.Seq, Sums: make([]byte, groups), Late: msg.Lend != 0 && !counted}
 	for g := range r.Sums {
 		if p := m.pools[poolKey{groups, g}]; p != nil {
 			p.advance(now)
 			r.Sums[g] = byte(min(p.sum, 1) * 100)
 		}
+		if r.Sums[g] > halfPercent || msg.Lend != 0 && !msg.Lend.has(g) {
+			continue
+		}
+		if id := m.holder(g, groups); id != "" {
+			r.Hints = append(r.Hints, Hint{Group: uint8(g), Manager: id})
+		}
 	}
 	for i := range msg.Asks {
 		r.Grants = append(r.Grants, m.grant(&msg.Asks[i], groups, newest, now))
@@ -134,7 +145,7 @@
 			p = newPool(m.terms, now)
 			m.pools[key] = p
 		}
-		p.lend(from, vote{weight: weight, until: until, gift: msg.Gift.has(g)}, now)
+		p.lend(from, vote{weight: weight, until: until, gift: msg.Gift.has(g), first: msg.First.has(g)}, now)
 	}
 }
 
--- a/internal/leverallow/message.go
+++ b/internal/leverallow/message.go
@@ -13,22 +13,19 @@
 
 func (s *GroupSet) add(g int) { *s |= 1 << g }
 
-// Message is what a VM sends to a manager. It is encoded as an array, so the order of
-// the fields is part of the protocol.
+// Message is what a VM sends to a manager.
 type Message struct {
-	//lint:ignore U1000 the codec reads this field by reflection
-	_msgpack struct{} `msgpack:",as_array"`
-
 	// Boot identifies the sender's process, Seq counts its messages.
 	Boot, Seq uint32
 	// EchoBoot and Echo are from the manager's last reply. They tell the manager that
 	// the message was sent after it.
 	EchoBoot uint32
 	Echo     int64
-	// Groups is the number of groups, and Lend, Gift and Release are the groups whose
-	// vote is lent, may give handover tokens, and is taken back.
-	Groups              uint8
-	Lend, Gift, Release GroupSet
+	// Groups is the number of groups. Lend and Release are those whose vote is lent and
+	// taken back. Of those in Lend, First are the ones that another manager may have
+	// had before, and Gift those that may give handover tokens.
+	Groups                     uint8
+	Lend, First, Gift, Release GroupSet
 	// Listed is the number of VMs in the sender's list. Unconfirmed is set if the list
 	// may be outdated.
 	Listed      uint16
@@ -38,9 +35,6 @@
 
 // Ask asks for the tokens of one organisation.
 type Ask struct {
-	//lint:ignore U1000 the codec reads this field by reflection
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Organisation leverid.OrganisationID
 	// Need is the number of tokens for requests that wait, Spare for those to come.
 	Need, Spare uint16
@@ -55,9 +49,6 @@
 
 // Reply is a manager's reply to a Message.
 type Reply struct {
-	//lint:ignore U1000 the codec reads this field by reflection
-	_msgpack struct{} `msgpack:",as_array"`
-
 	// Boot identifies the manager's process. Stamp is a reading of its steady clock in
 	// milliseconds, for the next message's Echo.
 	Boot  uint32
@@ -66,15 +57,22 @@
 	Seq uint32
 	// Sums holds the sums of the manager's votes for each group, in percent.
 	Sums []byte
+	// Hints name managers with the majority for groups in which this one has not got it.
+	Hints []Hint
+	// Late says that the votes came too late to count.
+	Late bool
 	// Grants are the replies to Asks in their order.
 	Grants []Grant
 }
 
+// Hint names the manager of a group.
+type Hint struct {
+	Group   uint8
+	Manager leverid.VMID
+}
+
 // Grant is the reply to an Ask.
 type Grant struct {
-	//lint:ignore U1000 the codec reads this field by reflection
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Organisation leverid.OrganisationID
 	// Granted is the number of tokens.
 	Granted uint16
--- a/internal/leverallow/pool.go
+++ b/internal/leverallow/pool.go
@@ -37,6 +37,9 @@
 	until  time.Time
 	// gift is set until the vote has given its part of the handover tokens.
 	gift bool
+	// first says that the VM may have lent the vote to another manager since this one
+	// last had it.
+	first bool
 }
 
 // pool holds the votes of one group of organisations and their buckets. Its methods
@@ -47,6 +50,8 @@
 	sum   float64
 	// expiry is not later than the first end of a vote.
 	expiry time.Time
+	// ended holds the votes that have ended since the last change.
+	ended []leverid.VMID
 	// fraction of the limits is in force since the last change of votes.
 	fraction float64
 	// at is the time up to which filled counts. filled is the integral of fraction over
@@ -55,6 +60,8 @@
 	at            time.Time
 	filled, gifts float64
 	buckets       map[leverid.OrganisationID]*bucket
+	// suspension is not nil while the pool waits for votes that ended together.
+	suspension *suspension
 }
 
 func newPool(t Terms, now time.Time) *pool {
@@ -66,8 +73,9 @@
 func (p *pool) advance(now time.Time) {
 	if !now.Before(p.expiry) {
 		p.dropEnded(now)
-		p.change()
+		p.change(now)
 	}
+	p.checkSuspension(now)
 	if d := now.Sub(p.at); d > 0 {
 		p.filled += p.fraction * d.Seconds()
 		p.at = now
@@ -79,6 +87,7 @@
 	for id, v := range p.votes {
 		if !now.Before(v.until) {
 			delete(p.votes, id)
+			p.ended = append(p.ended, id)
 			continue
 		}
 		p.sum += v.weight
@@ -97,12 +106,15 @@
 	if known && old.until.After(v.until) {
 		v.until = old.until
 	}
+	if p.suspension != nil {
+		v.first = p.suspension.isFirst(id, v.first, old, known)
+	}
 	p.votes[id] = v
 	p.sum += v.weight - old.weight
 	if v.until.Before(p.expiry) {
 		p.expiry = v.until
 	}
-	p.change()
+	p.change(now)
 	if v.gift && p.fraction > 0 {
 		p.collect(id)
 	}
@@ -114,14 +126,20 @@
 	if v, ok := p.votes[id]; ok {
 		delete(p.votes, id)
 		p.sum -= v.weight
-		p.change()
+		p.change(now)
 	}
 }
 
 // change sets the fraction by the votes.
-func (p *pool) change() {
+func (p *pool) change(now time.Time) {
+	ended := p.ended
+	p.ended = nil
 	f := fraction(p.sum)
-	if f == p.fraction {
+	if p.suspension != nil || f == p.fraction {
+		return
+	}
+	if len(ended) > 0 && f <= p.fraction/2 {
+		p.suspend(ended, now)
 		return
 	}
 	begins := p.fraction == 0
--- a/internal/leverallow/sim_test.go
+++ b/internal/leverallow/sim_test.go
@@ -54,6 +54,7 @@
 	seq   int
 	queue simQueue
 	vms   []*simVM
+	byID  map[leverid.VMID]*simVM
 	orgs  map[leverid.OrganisationID]Limit
 	// admitted holds the times of the requests that ran, and refused and undecided the
 	// numbers of the others.
@@ -67,6 +68,13 @@
 	messages           int
 	// storeDown is whether no VM has a path to the store.
 	storeDown bool
+	// naive weakens the VMs, for tests of the tests.
+	naive naivety
+	// bytes is the size of all messages, if it is counted.
+	bytes      int
+	countBytes bool
+	// disturbed is set at the first fault.
+	disturbed bool
 	// listed is the number of VMs that the store lists.
 	listed int
 }
@@ -93,7 +101,9 @@
 	listedSince time.Duration
 	versions    map[leverid.OrganisationID]Limit
 	heldList    int
-	renewals    int
+	cached      Fleet
+	// local holds the buckets of a naive version.
+	local map[leverid.OrganisationID]*bucket
 }
 
 type simRequest struct {
@@ -104,7 +114,7 @@
 func newSim(seed uint64, vms int, orgs map[leverid.OrganisationID]Limit) *sim {
 	s := &sim{
 		terms: terms, rng: rand.New(rand.NewPCG(seed, 7)), orgs: orgs, listed: vms, minDelay: 300 * time.Microsecond, maxDelay: 3 * time.Millisecond,
-		admitted: make(map[leverid.OrganisationID][]time.Duration), refused: make(map[leverid.OrganisationID]int), undecided: make(map[leverid.OrganisationID]int),
+		byID: make(map[leverid.VMID]*simVM), admitted: make(map[leverid.OrganisationID][]time.Duration), refused: make(map[leverid.OrganisationID]int), undecided: make(map[leverid.OrganisationID]int),
 	}
 	for range vms {
 		s.add(-time.Hour)
@@ -117,6 +127,7 @@
 	v := &simVM{s: s, index: len(s.vms), id: leverid.VMID(fmt.Sprint("vm", len(s.vms))), lostSince: make(map[int]time.Duration), listedSince: listedSince}
 	v.skew = time.Duration(s.rng.IntN(1000)) * time.Second
 	s.vms = append(s.vms, v)
+	s.byID[v.id] = v
 	v.start()
 	return v
 }
@@ -149,9 +160,10 @@
 	v.boots++
 	boot := uint32(v.index)<<16 | v.boots
 	v.client = NewClient(v.s.terms, v.id, boot, v.clock())
-	v.manager = NewManager(v.s.terms, boot, func(name leverid.OrganisationID) Limit { return v.limit(name) }, v.clock())
+	v.manager = NewManager(v.s.terms, boot, func(name leverid.OrganisationID) Limit { return v.limit(name) }, func(g, groups int) leverid.VMID { return v.client.Holder(g, groups, v.clock()) }, v.clock())
 	v.waiting = nil
 	v.heldList = 0
+	v.local = make(map[leverid.OrganisationID]*bucket)
 	boots := v.boots
 	v.s.after(time.Duration(v.s.rng.Int64N(int64(tick))), func() { v.tick(boots) })
 }
@@ -206,6 +218,9 @@
 	if v.current() {
 		v.heldList = v.s.listed
 	}
+	if !v.s.disturbed && v.cached.Listed == v.s.listed && v.current() {
+		return v.cached
+	}
 	f := Fleet{Listed: v.heldList, Current: v.current(), WasListed: v.started-v.listedSince > JoinSilence}
 	if v.heldList <= v.index {
 		f.Listed = 0
@@ -222,6 +237,7 @@
 			f.Ranked = append(f.Ranked, o.id)
 		}
 	}
+	v.cached = f
 	return f
 }
 
@@ -229,10 +245,11 @@
 	for range 4 {
 		local := false
 		for _, out := range v.client.Due(v.clock()) {
-			o := v.s.vms[slices.IndexFunc(v.s.vms, func(o *simVM) bool { return o.id == out.To })]
+			o := v.s.byID[out.To]
 			if o == v {
 				local = true
 				v.client.Receive(v.id, v.manager.Handle(v.id, out.Message, v.clock()), v.clock())
+				v.s.naive.weaken(v.manager, v.client, v.clock())
 				continue
 			}
 			v.s.messages++
@@ -257,6 +274,8 @@
 				return
 			}
 			r := o.manager.Handle(v.id, m, o.clock())
+			v.s.naive.weaken(o.manager, v.client, o.clock())
+			v.s.count(m, r)
 			for range v.s.arrivals() {
 				v.later(v.s.delay(), func() {
 					if v.reaches(o) {
@@ -285,6 +304,10 @@
 	if !v.up || v.frozen() {
 		return
 	}
+	if v.s.naive == localBuckets && v.takeLocally(name) {
+		v.s.admitted[name] = append(v.s.admitted[name], v.s.now)
+		return
+	}
 	w := v.client.Take(name, v.limit(name), v.clock())
 	v.waiting = append(v.waiting, simRequest{w, v.s.now})
 	if w.decided() {
