--- a/internal/leverallow/due.go
+++ b/internal/leverallow/due.go
@@ -30,6 +30,9 @@
 	d.lend()
 	d.lookAround()
 	d.ask()
+	if len(d.messages) == 0 {
+		return nil
+	}
 	var out []Outgoing
 	for _, id := range slices.Sorted(maps.Keys(d.messages)) {
 		p := d.peer(id)
@@ -68,8 +71,8 @@
 
 // lend lends the votes that are free, and those whose lease has to be renewed.
 func (d *due) lend() {
-	for _, id := range slices.Compact(slices.Sorted(slices.Values(d.managers))) {
-		if id == "" {
+	for i, id := range d.managers {
+		if id == "" || slices.Contains(d.managers[:i], id) {
 			continue
 		}
 		p := d.peer(id)
@@ -138,6 +141,9 @@
 
 // ask asks for tokens for the requests that wait.
 func (d *due) ask() {
+	if len(d.pending) == 0 {
+		return
+	}
 	for _, name := range slices.Sorted(maps.Keys(d.pending)) {
 		w := d.pending[name]
 		if len(w.queue) == 0 && w.returned.n == 0 {
--- a/internal/leverallow/sim_test.go
+++ b/internal/leverallow/sim_test.go
@@ -61,6 +61,8 @@
 	admitted           map[leverid.OrganisationID][]time.Duration
 	refused, undecided map[leverid.OrganisationID]int
 	waits              []time.Duration
+	// issued is the number of requests.
+	issued int
 	// loss and copies are the probabilities that a message is lost or copied, maxDelay
 	// limits the delay of a message.
 	loss, copies       float64
@@ -312,6 +314,7 @@
 	if !v.up || v.frozen() {
 		return
 	}
+	v.s.issued++
 	if v.s.naive == localBuckets && v.takeLocally(name) {
 		v.s.admitted[name] = append(v.s.admitted[name], v.s.now)
 		return
