--- a/internal/leverallow/allowance.go
+++ b/internal/leverallow/allowance.go
@@ -21,6 +21,10 @@
 	// tick is how often an Allowance looks for messages to send. It divides
 	// renewInterval.
 	tick = 50 * time.Millisecond
+	// fleetTicks is the number of ticks after which it looks at the fleet again.
+	fleetTicks = 4
+	// waitSteps is the number of steps in which a request waits.
+	waitSteps = 6
 	// exchangeTimeout limits the time for a message and its reply. Later, the manager
 	// is suspect.
 	exchangeTimeout = suspectAfter
@@ -116,19 +120,22 @@
 func (a *Allowance) Run(ctx context.Context) {
 	t := a.Timer.Every(tick)
 	defer t.Stop()
-	for {
+	for i := 0; ; i++ {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
 			return
 		}
 		a.checkPause()
-		if a.on() {
+		if !a.on() {
+			continue
+		}
+		if i%fleetTicks == 0 {
 			now := a.Timer.Now()
 			a.client.SetFleet(a.Fleet(), now)
 			a.logPools(now)
-			a.send(ctx)
 		}
+		a.send(ctx)
 	}
 }
 
@@ -136,7 +143,7 @@
 // while, because the steady clock may not count that time.
 func (a *Allowance) checkPause() {
 	if a.Paused() {
-		a.client.Reset()
+		a.client.Reset(a.Timer.Now())
 		a.manager.Reset()
 	}
 }
@@ -165,19 +172,31 @@
 	return a.decision(w.Decision)
 }
 
-// await waits until a request is decided.
+// await waits until a request is decided, for replyWait in several steps: a time in which
+// the process does not run, as its processor time is limited, counts as one step, and the
+// reply that has come meanwhile is read in the next.
 func (a *Allowance) await(ctx context.Context, w *Waiter) {
-	if w.decided() {
-		return
+	for range waitSteps {
+		if w.decided() {
+			return
+		}
+		if !a.awaitStep(ctx, w) {
+			break
+		}
 	}
-	t := a.Timer.After(replyWait)
+	a.client.GiveUp(w, a.Timer.Now())
+}
+
+func (a *Allowance) awaitStep(ctx context.Context, w *Waiter) bool {
+	t := a.Timer.After(replyWait / waitSteps)
 	defer t.Stop()
 	select {
 	case <-w.Done:
 	case <-t.C:
 	case <-ctx.Done():
+		return false
 	}
-	a.client.GiveUp(w, a.Timer.Now())
+	return true
 }
 
 // Return gives back a request that has been taken and has not reached any upstream.
@@ -274,6 +293,7 @@
 	if err := x.Peers.Invoke(invokeCtx, vm, leverpeer.KindAllowance, x.Message, &r); err != nil {
 		if invokeCtx.Err() == nil {
 			x.client.Failed(x.To, x.Timer.Now())
+			x.send(ctx)
 		}
 		return
 	}
