--- a/internal/leverengine/block.go
+++ b/internal/leverengine/block.go
@@ -181,6 +181,9 @@
 	f.reason = blockedReason + "too many parts"
 	for i := range f.parts {
 		p := &f.parts[i]
+		if why := f.whyBlocked(p.service); why != blockedReason {
+			f.reason = why + "too many parts"
+		}
 		p.branched, p.awaited, p.exhausted = false, false, true
 	}
 }
--- a/internal/leverengine/evacuation.go
+++ b/internal/leverengine/evacuation.go
@@ -55,6 +55,24 @@
 	return kept
 }
 
+// The reasons of requests for which upstreams are known that must not get them. The service
+// follows.
+const (
+	evacuatedReason = "all upstreams are in evacuated failure domains: "
+	abroadReason    = "no upstream is in a home region: "
+)
+
+// whyBlocked returns the reason why no upstream of a service takes the request.
+func (f *fanout) whyBlocked(s leverid.ServiceID) string {
+	switch {
+	case f.engine.Directory.View().Withdrawn(s):
+		return evacuatedReason
+	case f.isAbroad(s):
+		return abroadReason
+	}
+	return blockedReason
+}
+
 // isFresh reports whether an upstream takes requests, can be reached as far as this VM
 // knows, and was not tried by earlier attempts.
 func (f *fanout) isFresh(c *candidates, u *leverdirectory.Upstream, now time.Time) bool {
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -306,7 +306,7 @@
 	u, _ := f.pickUpstream(p, now)
 	switch {
 	case u == nil && f.isBlocked(p.service, now):
-		f.reason = blockedReason + string(p.service)
+		f.reason = f.whyBlocked(p.service) + string(p.service)
 		p.exhausted = p.inFlight == 0
 		return
 	case u == nil:
