internal/leverengine, levercold: waiting requests with other candidates, lost places

Requests with home regions, or during the return of a failure domain, may use fewer upstreams than others of their service. The pool takes a request that finds no room for a sign that there is none for those behind it, so these went on waiting when an upstream with room came that only they may use. A request that finds no room now asks for that of all upstreams.

--- a/internal/levercold/shares.go
+++ b/internal/levercold/shares.go
@@ -20,6 +20,9 @@
 	// settleTime is how long a process uses no share after its start: the calls of its
 	// predecessor have arrived by then, and all VMs with a path know the list.
 	settleTime = 4 * time.Second
+	// trimDelay is how much longer a list may count, so that lists that were replaced one
+	// after another are dropped at once. Each time, all parts are computed again.
+	trimDelay = 10 * time.Second
 	// minWeight is the least weight of a VM that states no power, in cores.
 	minWeight = 0.1
 )
@@ -81,7 +84,7 @@
 func (s *Shares) record(list []levermsg.VM, now time.Time) {
 	n := len(s.lists)
 	if n > 0 && slices.Equal(s.lists[n-1].vms, list) {
-		if s.lists[0].replaced.IsZero() || now.Sub(s.lists[0].replaced) <= window {
+		if s.lists[0].replaced.IsZero() || now.Sub(s.lists[0].replaced) <= window+trimDelay {
 			return
 		}
 	} else {
--- a/internal/levercold/shares_test.go
+++ b/internal/levercold/shares_test.go
@@ -159,3 +159,14 @@
 	}
 	is.Equal(sum, 7)
 }
+
+// BenchmarkOwn measures the part in a fleet whose list has grown in 20 steps.
+func BenchmarkOwn(b *testing.B) {
+	s := &levercold.Shares{Self: "vm0"}
+	for i := range 20 {
+		s.Renew(fleet(53+i), false, start.Add(time.Duration(i)*100*time.Millisecond))
+	}
+	for i := range b.N {
+		s.Own(leverid.UpstreamID(fmt.Sprint(i)), 20)
+	}
+}
--- a/internal/leverengine/place.go
+++ b/internal/leverengine/place.go
@@ -87,6 +87,10 @@
 	now := f.engine.Timer.Now()
 	usable := func(u *leverdirectory.Upstream) bool { return f.engine.Health.Wait(u, now) == 0 && hasRoom(u) }
 	if !slices.ContainsFunc(f.eligible(&a.candidates, now), usable) {
+		// The pool has to know of room that other requests may use.
+		for _, u := range f.engine.Directory.View().Upstreams(a.candidates.service) {
+			hasRoom(u)
+		}
 		return nil
 	}
 	for {
