internal/levercold: no import of the engine

The decision packages are below the engine in docs/ARCHITECTURE.md, and levercold imported it for the ends of requests. They are levercold's now, as leverhealth has the results of calls; the interface stays in the engine. No change of behavior; the tests of levercold, leverengine and platform for cold upstreams and homes and scripts/lint.sh pass.

--- a/internal/levercold/limit.go
+++ b/internal/levercold/limit.go
@@ -18,7 +18,6 @@
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverdirectory"
-	"arbutuslever.dev/lever/internal/leverengine"
 	"arbutuslever.dev/lever/internal/leverid"
 )
 
@@ -39,6 +38,19 @@
 	noShareWait = time.Second
 )
 
+// End is what the end of a request says about its arrival.
+type End uint8
+
+// The ends.
+const (
+	// NotArrived means that the request was not sent, or reached another upstream.
+	NotArrived End = iota
+	// Arrived means that the request has arrived before now, if at all.
+	Arrived
+	// Unknown means that the request may still be under way.
+	Unknown
+)
+
 // Terms are the bounds of the whole fleet: a cold upstream receives at most its
 // service's rate times Excess, plus Slack, in any second.
 type Terms struct{ Excess, Slack float64 }
@@ -46,7 +58,7 @@
 // DefaultTerms apply where the settings have none.
 var DefaultTerms = Terms{Excess: 1.5, Slack: 5}
 
-// Limit implements leverengine.ColdLimit by fixed shares. Its exported fields must be set
+// Limit bounds the requests by fixed shares. Its exported fields must be set
 // before its first use. It is safe for concurrent use.
 type Limit struct {
 	Terms  Terms
@@ -59,8 +71,6 @@
 	bounded atomic.Bool
 }
 
-var _ leverengine.ColdLimit = (*Limit)(nil)
-
 // state is what this VM knows of an upstream. The places are those of all its runs, as a
 // run may start within a second after another.
 type state struct {
@@ -255,7 +265,7 @@
 }
 
 // End records the end of a request for which Take has taken a place.
-func (l *Limit) End(u *leverdirectory.Upstream, e leverengine.ColdEnd, now time.Time) {
+func (l *Limit) End(u *leverdirectory.Upstream, e End, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.states[u.ID]
@@ -263,11 +273,13 @@
 		return
 	}
 	s.taken--
-	after := map[leverengine.ColdEnd]time.Duration{leverengine.ColdArrived: span, leverengine.ColdUnknown: lostSpan}[e]
-	if after == 0 {
+	at := now.Add(span)
+	switch e {
+	case NotArrived:
 		return
+	case Unknown:
+		at = now.Add(lostSpan)
 	}
-	at := now.Add(after)
 	i := len(s.freed)
 	for i > 0 && s.freed[i-1].After(at) {
 		i--
--- a/internal/levercold/limit_test.go
+++ b/internal/levercold/limit_test.go
@@ -8,7 +8,6 @@
 
 	"arbutuslever.dev/lever/internal/levercold"
 	"arbutuslever.dev/lever/internal/leverdirectory"
-	"arbutuslever.dev/lever/internal/leverengine"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/levermsg"
 
@@ -41,7 +40,7 @@
 	vm      int
 	arrives time.Time
 	ends    time.Time
-	end     leverengine.ColdEnd
+	end     levercold.End
 }
 
 // TestColdBound answers a flood on all VMs, more than each has places for: in any second
@@ -78,16 +77,16 @@
 				}
 				c := call{vm: i, arrives: now.Add(time.Duration(rng.IntN(200)) * time.Millisecond)}
 				c.ends = c.arrives.Add(time.Duration(rng.ExpFloat64() * float64(30*time.Millisecond)))
-				c.end = leverengine.ColdArrived
+				c.end = levercold.Arrived
 				switch rng.IntN(10) {
 				case 0:
 					// The caller leaves while the request is under way.
-					c.end, c.ends = leverengine.ColdUnknown, now
+					c.end, c.ends = levercold.Unknown, now
 				case 1:
-					c.end, c.ends = leverengine.ColdNotArrived, now
+					c.end, c.ends = levercold.NotArrived, now
 				}
 				open = append(open, c)
-				if c.end != leverengine.ColdNotArrived {
+				if c.end != levercold.NotArrived {
 					arrivals = append(arrivals, c.arrives)
 				}
 			}
@@ -178,7 +177,7 @@
 	l.Update(view(next), start)
 	_, ok := l.Take(&next, start)
 	is.True(!ok)
-	l.End(&u, leverengine.ColdNotArrived, start)
+	l.End(&u, levercold.NotArrived, start)
 	_, ok = l.Take(&next, start)
 	is.True(ok)
 }
@@ -218,7 +217,7 @@
 	}
 	is.Equal(take(), bound)
 	for range bound {
-		l.End(&u, leverengine.ColdArrived, start)
+		l.End(&u, levercold.Arrived, start)
 	}
 	l.Update(view(), start)
 	l.Update(view(u), start)
--- a/internal/leverengine/cold.go
+++ b/internal/leverengine/cold.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"arbutuslever.dev/lever/internal/levercold"
 	"arbutuslever.dev/lever/internal/leverdirectory"
 	"arbutuslever.dev/lever/internal/leverhealth"
 )
@@ -26,22 +27,9 @@
 	// so that End has to be called for it.
 	Take(u *leverdirectory.Upstream, now time.Time) (counted, ok bool)
 	// End records the end of a request that counts.
-	End(u *leverdirectory.Upstream, e ColdEnd, now time.Time)
+	End(u *leverdirectory.Upstream, e levercold.End, now time.Time)
 }
 
-// ColdEnd is what the end of a request says about its arrival.
-type ColdEnd uint8
-
-// The ends.
-const (
-	// ColdNotArrived means that the request was not sent, or reached another upstream.
-	ColdNotArrived ColdEnd = iota
-	// ColdArrived means that the request has arrived before now, if at all.
-	ColdArrived
-	// ColdUnknown means that the request may still be under way.
-	ColdUnknown
-)
-
 // coldPatience is how long a request waits for a place at a cold upstream if there is no
 // other. It is refused if that would take longer.
 const coldPatience = 150 * time.Millisecond
@@ -97,7 +85,7 @@
 // returnReserved returns the place that no attempt has used.
 func (f *fanout) returnReserved(now time.Time) {
 	if f.reserved != nil {
-		f.engine.Cold.End(f.reserved, ColdNotArrived, now)
+		f.engine.Cold.End(f.reserved, levercold.NotArrived, now)
 		f.reserved = nil
 	}
 }
@@ -132,14 +120,14 @@
 	defer a.cold.mu.Unlock()
 	c, limit := &a.cold, a.fanout.engine.Cold
 	if c.chosen != nil && (c.chosen != u || c.held == u) {
-		limit.End(c.chosen, ColdNotArrived, now)
+		limit.End(c.chosen, levercold.NotArrived, now)
 		c.chosen = nil
 	}
 	if c.held == u {
 		return
 	}
 	if c.held != nil {
-		limit.End(c.held, ColdNotArrived, now)
+		limit.End(c.held, levercold.NotArrived, now)
 	}
 	c.held, c.chosen = c.chosen, nil
 }
@@ -155,14 +143,14 @@
 	if c.held == nil {
 		return
 	}
-	end := ColdArrived
+	end := levercold.Arrived
 	switch a.kind {
 	case leverhealth.Refused, leverhealth.Withdrawn, leverhealth.WrongUpstream:
-		end = ColdNotArrived
+		end = levercold.NotArrived
 	case leverhealth.Canceled, leverhealth.Lost:
-		end = ColdUnknown
+		end = levercold.Unknown
 	}
-	if end != ColdNotArrived {
+	if end != levercold.NotArrived {
 		a.fanout.engine.Metrics.Add("cold-places-used", 1)
 	}
 	a.fanout.engine.Cold.End(c.held, end, now)
