cmd/leversoak: a VM without the store is judged unless most VMs are without

Three faults "key-cut" at once, or cuts and freezes of single VMs beside them, can leave no VM that reaches the store, which the check then held against all. The time in which at most one VM is free of such faults now excuses all VMs, and a cut of some VMs excuses none.

--- a/cmd/leversoak/organisation.go
+++ b/cmd/leversoak/organisation.go
@@ -168,18 +168,28 @@
 // revokeDuringCut revokes a key while a third of the VMs can't reach the store. Their
 // peers, which can, have to pass the change on to them.
 func (s *soak) revokeDuringCut(f fault) {
-	for i, v := range s.vms {
-		if (i+f.target)%3 == 0 {
-			v.store.impair(0, false, false, true)
-			v.store.reset()
-			defer v.store.impair(0, false, false, false)
-		}
+	for _, n := range s.cutByKeyFault(f) {
+		v := s.vms[n]
+		v.store.impair(0, false, false, true)
+		v.store.reset()
+		defer v.store.impair(0, false, false, false)
 	}
 	time.Sleep(f.duration / 4)
 	s.revokeKey(f.target)
 	time.Sleep(configApply + f.duration)
 }
 
+// cutByKeyFault returns the VMs that a fault "key-cut" keeps from the store.
+func (s *soak) cutByKeyFault(f fault) []int {
+	var out []int
+	for n := range s.vms {
+		if (n+f.target)%3 == 0 {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 // heatOrganisation adds callers of an organisation, which send hotFactor times its usual
 // load with those that it has.
 func (s *soak) heatOrganisation(f fault) {
@@ -241,29 +251,64 @@
 	from, to time.Time
 }
 
-// disturbed maps the kinds of faults that are disturbances to whether they affect all VMs.
-var disturbed = map[string]bool{"store-down": true, "pause": false}
+// allVMs stands for each VM.
+const allVMs = -1
 
-// disturb injects a fault and records it if it is a disturbance.
+// disturb injects a fault and records whether it disturbs VMs. A VM that can't reach the
+// store learns of changes from its peers, unless most of them can't either.
 func (s *soak) disturb(f fault, inject func(s *soak, f fault)) {
-	all, ok := disturbed[f.kind]
-	if !ok {
-		inject(s, f)
-		return
-	}
-	d := &disturbance{vm: f.target % len(s.vms), from: time.Now()}
-	if all {
-		d.vm = -1
+	n := f.target % len(s.vms)
+	isolated := []int{n}
+	switch f.kind {
+	case "store-down":
+		defer s.endDisturbance(s.startDisturbance(allVMs))
+		isolated = nil
+	case "pause":
+		defer s.endDisturbance(s.startDisturbance(n))
+	case "key-cut":
+		isolated = s.cutByKeyFault(f)
+	case "store-cut", "store-silent":
+	default:
+		isolated = nil
 	}
+	s.isolate(isolated, 1)
+	defer s.isolate(isolated, -1)
+	inject(s, f)
+}
+
+func (s *soak) startDisturbance(vm int) *disturbance {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := &disturbance{vm: vm, from: time.Now()}
 	s.disturbances = append(s.disturbances, d)
-	s.mu.Unlock()
-	inject(s, f)
+	return d
+}
+
+func (s *soak) endDisturbance(d *disturbance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	d.to = time.Now()
 }
 
+// isolate adds n to the number of faults that keep each of some VMs from relaying the
+// store, and records the time in which at most one VM is without.
+func (s *soak) isolate(vms []int, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, vm := range vms {
+		if s.isolated[vm] += n; s.isolated[vm] == 0 {
+			delete(s.isolated, vm)
+		}
+	}
+	switch most := len(s.isolated) >= len(s.vms)-1; {
+	case most && s.mostIsolated == nil:
+		s.mostIsolated = &disturbance{vm: allVMs, from: time.Now()}
+		s.disturbances = append(s.disturbances, s.mostIsolated)
+	case !most && s.mostIsolated != nil:
+		s.mostIsolated.to, s.mostIsolated = time.Now(), nil
+	}
+}
+
 // knownBefore returns the time before which changes must have been known to a VM, or to
 // all if v is nil, at a time: configApply before it, or before the disturbances that it
 // was in or that ended less than that before. With --strict-revoke, a VM that may not know
--- a/cmd/leversoak/soak.go
+++ b/cmd/leversoak/soak.go
@@ -59,6 +59,10 @@
 	keys         map[string][]string
 	keyCount     int
 	disturbances []*disturbance
+	// isolated counts the faults that keep each VM from relaying the store, mostIsolated
+	// is the present time in which that is so for all VMs but one.
+	isolated     map[int]int
+	mostIsolated *disturbance
 }
 
 // report is the result of a run.
@@ -89,7 +93,7 @@
 
 // runOnce starts a new fleet, runs the faults on it and stops it.
 func runOnce(o *options, seed uint64, faults []fault) *report {
-	s := &soak{options: o, seed: seed, proxies: make(map[string]*proxy), keys: make(map[string][]string), started: time.Now()}
+	s := &soak{options: o, seed: seed, proxies: make(map[string]*proxy), keys: make(map[string][]string), isolated: make(map[int]int), started: time.Now()}
 	r := &report{seed: seed, faults: faults}
 	dir, err := os.MkdirTemp("", "leversoak")
 	if err != nil {
