--- a/cmd/leversoak/organisation.go
+++ b/cmd/leversoak/organisation.go
@@ -4,10 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -338,19 +335,3 @@
 	}
 	return b
 }
-
-// checkLogs checks that no VM has logged a key.
-func (s *soak) checkLogs() {
-	for _, v := range s.vms {
-		b, err := os.ReadFile(filepath.Join(v.dir, fmt.Sprintf("vm%d.log", v.n)))
-		if err != nil {
-			s.violationf("the log of vm%d can't be read: %v", v.n, err)
-		}
-		for line := range strings.Lines(string(b)) {
-			if strings.Contains(line, keyPrefix) {
-				s.violationf("vm%d has logged a key: %.200s", v.n, line)
-				break
-			}
-		}
-	}
-}
--- a/cmd/leversoak/soak.go
+++ b/cmd/leversoak/soak.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -347,15 +346,3 @@
 		_ = s.front.ln.Close()
 	}
 }
-
-// saveLogs copies the VM logs of a failed seed to the directory for logs.
-func (s *soak) saveLogs(dir string) {
-	target := filepath.Join(s.options.Logs, fmt.Sprintf("seed-%d", s.seed))
-	if err := os.MkdirAll(target, 0o755); err != nil {
-		s.logf("logs: %v", err)
-		return
-	}
-	if err := os.CopyFS(target, os.DirFS(dir)); err != nil && !os.IsExist(err) {
-		s.logf("logs: %v", err)
-	}
-}
