--- a/cmd/leversoak/soak.go
+++ b/cmd/leversoak/soak.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -59,6 +58,10 @@
 	keys         map[string][]string
 	keyCount     int
 	disturbances []*disturbance
+	// isolated counts the faults that keep each VM from relaying the store, mostIsolated
+	// is the present time in which that is so for all VMs but one.
+	isolated     map[int]int
+	mostIsolated *disturbance
 }
 
 // report is the result of a run.
@@ -89,7 +92,7 @@
 
 // runOnce starts a new fleet, runs the faults on it and stops it.
 func runOnce(o *options, seed uint64, faults []fault) *report {
-	s := &soak{options: o, seed: seed, proxies: make(map[string]*proxy), keys: make(map[string][]string), started: time.Now()}
+	s := &soak{options: o, seed: seed, proxies: make(map[string]*proxy), keys: make(map[string][]string), isolated: make(map[int]int), started: time.Now()}
 	r := &report{seed: seed, faults: faults}
 	dir, err := os.MkdirTemp("", "leversoak")
 	if err != nil {
@@ -148,12 +151,12 @@
 			return err
 		}
 	}
-	var ports [3]int
-	for i := range ports {
-		if ports[i], err = leverport.FindFree(0); err != nil {
-			return err
-		}
+	// Ports found one by one could be the same.
+	port, err := leverport.FindFree(0, 1, 2)
+	if err != nil {
+		return err
 	}
+	ports := [3]int{port, port + 1, port + 2}
 	if s.front.ln, err = net.Listen("tcp4", "127.0.0.1:0"); err != nil {
 		return err
 	}
@@ -343,15 +346,3 @@
 		_ = s.front.ln.Close()
 	}
 }
-
-// saveLogs copies the VM logs of a failed seed to the directory for logs.
-func (s *soak) saveLogs(dir string) {
-	target := filepath.Join(s.options.Logs, fmt.Sprintf("seed-%d", s.seed))
-	if err := os.MkdirAll(target, 0o755); err != nil {
-		s.logf("logs: %v", err)
-		return
-	}
-	if err := os.CopyFS(target, os.DirFS(dir)); err != nil && !os.IsExist(err) {
-		s.logf("logs: %v", err)
-	}
-}
