--- a/internal/leverdelegate/delegate.go
+++ b/internal/leverdelegate/delegate.go
@@ -225,11 +225,11 @@
 	if req.Homes == nil {
 		return d.runners
 	}
-	abroad := func(vm levermsg.VM) bool { return !d.Engine.MayReceive(req, vm) }
-	if out := slices.DeleteFunc(slices.Clone(d.runners), abroad); len(out) > 0 {
+	outside := func(vm levermsg.VM) bool { return !d.Engine.MayReceive(req, vm) }
+	if out := slices.DeleteFunc(slices.Clone(d.runners), outside); len(out) > 0 {
 		return out
 	}
-	return slices.DeleteFunc(slices.Clone(d.allRunners), abroad)
+	return slices.DeleteFunc(slices.Clone(d.allRunners), outside)
 }
 
 // candidates returns the runners to try, in order and without those in
--- a/internal/leverengine/block.go
+++ b/internal/leverengine/block.go
@@ -100,7 +100,7 @@
 func (f *fanout) wait(s leverid.ServiceID, now time.Time) time.Duration {
 	e := f.engine
 	view := e.Directory.View()
-	if view.Withdrawn(s) || f.isAbroad(s) {
+	if view.Withdrawn(s) || f.isOutside(s) {
 		return withdrawnWait
 	}
 	if !e.Health.AnyBlocked() && !e.anyCold() {
--- a/internal/leverengine/evacuation.go
+++ b/internal/leverengine/evacuation.go
@@ -59,7 +59,7 @@
 // follows.
 const (
 	evacuatedReason = "all upstreams are in evacuated failure domains: "
-	abroadReason    = "no upstream is in a home region: "
+	outsideReason    = "no upstream is in a home region: "
 )
 
 // whyBlocked returns the reason why no upstream of a service takes the request.
@@ -67,8 +67,8 @@
 	switch {
 	case f.engine.Directory.View().Withdrawn(s):
 		return evacuatedReason
-	case f.isAbroad(s):
-		return abroadReason
+	case f.isOutside(s):
+		return outsideReason
 	}
 	return blockedReason
 }
--- a/internal/leverengine/home.go
+++ b/internal/leverengine/home.go
@@ -26,8 +26,8 @@
 	return f.req.Homes == nil || f.req.Homes.Allow(f.engine.Regions[u.Domain])
 }
 
-// isAbroad reports whether a service has upstreams and none of them is in a home region.
-func (f *fanout) isAbroad(s leverid.ServiceID) bool {
+// isOutside reports whether a service has upstreams and none of them is in a home region.
+func (f *fanout) isOutside(s leverid.ServiceID) bool {
 	if f.req.Homes == nil {
 		return false
 	}
