--- a/internal/leverengine/evacuation.go
+++ b/internal/leverengine/evacuation.go
@@ -59,7 +59,7 @@
 // follows.
 const (
 	evacuatedReason = "all upstreams are in evacuated failure domains: "
-	outsideReason    = "no upstream is in a home region: "
+	outsideReason   = "no upstream is in a home region: "
 )
 
 // whyBlocked returns the reason why no upstream of a service takes the request.
