--- a/cmd/leversoak/soak.go
+++ b/cmd/leversoak/soak.go
@@ -151,12 +151,12 @@
 			return err
 		}
 	}
-	var ports [3]int
-	for i := range ports {
-		if ports[i], err = leverport.FindFree(0); err != nil {
-			return err
-		}
+	// Ports found one by one could be the same.
+	port, err := leverport.FindFree(0, 1, 2)
+	if err != nil {
+		return err
 	}
+	ports := [3]int{port, port + 1, port + 2}
 	if s.front.ln, err = net.Listen("tcp4", "127.0.0.1:0"); err != nil {
 		return err
 	}
