--- a/cmd/leversoak/organisation.go
+++ b/cmd/leversoak/organisation.go
@@ -42,6 +42,7 @@
 	"key-revoke": func(s *soak, f fault) { s.revokeKey(f.target) },
 	"key-storm":  (*soak).changeKeysOften,
 	"key-cut":    (*soak).revokeDuringCut,
+	"key-outage": (*soak).revokeDuringOutage,
 	"hot":        (*soak).heatOrganisation,
 	"limit-lower": func(s *soak, f fault) {
 		s.changeTenants(func(all []standin.Tenant) { all[f.target%len(all)].RatePerS /= 2 })
@@ -63,6 +64,9 @@
 // organisationFaults returns the further faults of a seed with organisations.
 func organisationFaults(seed uint64, o *options) []fault {
 	kinds := []string{"hot", "key-add", "key-move", "key-revoke", "key-cut", "key-storm"}
+	if o.StrictRevoke {
+		kinds = append(kinds, "key-outage")
+	}
 	if o.Limits {
 		kinds = append(kinds, "limit-lower")
 	}
@@ -176,6 +180,16 @@
 	time.Sleep(configApply + f.duration)
 }
 
+// revokeDuringOutage revokes a key while no VM can reach the store, for longer than VMs may
+// use what they know if they are strict.
+func (s *soak) revokeDuringOutage(f fault) {
+	s.sim.Store.SetDown(true)
+	time.Sleep(f.duration / 4)
+	s.revokeKey(f.target)
+	time.Sleep(configApply + f.duration)
+	s.sim.Store.SetDown(false)
+}
+
 // cutByKeyFault returns the VMs that a fault "key-cut" keeps from the store.
 func (s *soak) cutByKeyFault(f fault) []int {
 	var out []int
@@ -257,7 +271,7 @@
 	n := f.target % len(s.vms)
 	isolated := []int{n}
 	switch f.kind {
-	case "store-down":
+	case "store-down", "key-outage":
 		defer s.endDisturbance(s.startDisturbance(allVMs))
 		isolated = nil
 	case "pause":
