--- a/cmd/leversoak/caller.go
+++ b/cmd/leversoak/caller.go
@@ -77,7 +77,7 @@
 		x.Stopped, x.Grace = c.vm.stoppedBefore(x.Sent.Add(x.Took))
 		x.FaultyUpstreams = c.soak.options.Stops
 		x.Key, x.Calm = key, calm
-		x.Current, x.FleetCurrent = c.soak.knownBefore(c.vm, x.Sent), c.soak.knownBefore(nil, x.Sent)
+		x.KeysCurrent, x.Current, x.FleetCurrent = c.soak.keysKnownBefore(c.vm, x.Sent), c.soak.knownBefore(c.vm, x.Sent), c.soak.knownBefore(nil, x.Sent)
 		c.soak.sim.Checker.Record(x)
 	}
 }
--- a/cmd/leversoak/organisation.go
+++ b/cmd/leversoak/organisation.go
@@ -320,10 +320,19 @@
 	}
 }
 
+// keysKnownBefore returns the time before which changes of keys must have been known to a
+// VM. With --strict-revoke, a VM that may not know of a change refuses all keys, so that
+// disturbances excuse nothing.
+func (s *soak) keysKnownBefore(v *vm, at time.Time) time.Time {
+	if s.options.StrictRevoke && !s.options.RulesOnly {
+		return at.Add(-configApply)
+	}
+	return s.knownBefore(v, at)
+}
+
 // knownBefore returns the time before which changes must have been known to a VM, or to
 // all if v is nil, at a time: configApply before it, or before the disturbances that it
-// was in or that ended less than that before. With --strict-revoke, a VM that may not know
-// of a change refuses all keys. With --rules-only, nothing had to be known.
+// was in or that ended less than that before. With --rules-only, nothing had to be known.
 func (s *soak) knownBefore(v *vm, at time.Time) time.Time {
 	if s.options.RulesOnly {
 		return s.started
@@ -331,9 +340,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := at.Add(-configApply)
-	if v != nil && s.options.StrictRevoke {
-		return known
-	}
 	for _, d := range slices.Backward(s.disturbances) {
 		affects := v == nil || d.vm < 0 || d.vm == v.n
 		if affects && !d.from.After(at) && (d.to.IsZero() || d.to.After(known)) {
