internal/leverallow: refuse retries at the VM, votes 4.5 s after joining

Cause: callers that retry without a pause cost a message each, a fleet that starts needs its votes before 10 s, and the log could repeat the loss of a manager per request. Change: after a refusal by the manager, a VM refuses for 5 ms itself; JoinSilence is 4.5 s; unused tokens go back with the messages that renew votes; recovery is logged after a second without fallback.

--- a/internal/leverallow/allowance.go
+++ b/internal/leverallow/allowance.go
@@ -25,6 +25,9 @@
 	fleetTicks = 4
 	// waitSteps is the number of steps in which a request waits.
 	waitSteps = 6
+	// recoveredAfter is how long after the last request without a manager one is said to
+	// answer again. The managers of other groups may have answered all the time.
+	recoveredAfter = time.Second
 	// exchangeTimeout limits the time for a message and its reply. Later, the manager
 	// is suspect.
 	exchangeTimeout = suspectAfter
@@ -63,8 +66,10 @@
 	limited atomic.Pointer[limitedConfig]
 
 	mu sync.Mutex
-	// fallenBack is whether the last request was undecided or run without a manager.
-	fallenBack bool
+	// fallenBack is whether a request was undecided or run without a manager, lastly at
+	// fallenBackAt.
+	fallenBack   bool
+	fallenBackAt time.Time
 }
 
 type limitedConfig struct {
@@ -228,20 +233,22 @@
 	a.Metrics.Add(levermetric.Name("allowance-requests", "result", result), 1)
 }
 
-// noteFallback logs when this VM begins and ends to decide without a manager.
-func (a *Allowance) noteFallback(now bool) {
+// noteFallback logs when this VM begins to decide without a manager, and when it has not
+// done so for recoveredAfter.
+func (a *Allowance) noteFallback(fallback bool) {
 	a.mu.Lock()
-	changed := a.fallenBack != now
-	a.fallenBack = now
-	a.mu.Unlock()
-	if !changed {
-		return
-	}
-	if now {
+	defer a.mu.Unlock()
+	now := a.Timer.Now()
+	switch {
+	case fallback && !a.fallenBack:
 		a.Log.Warn("no manager of allowances answers")
-	} else {
+	case !fallback && a.fallenBack && now.Sub(a.fallenBackAt) >= recoveredAfter:
+		a.fallenBack = false
 		a.Log.Info("a manager of allowances answers again")
 	}
+	if fallback {
+		a.fallenBack, a.fallenBackAt = true, now
+	}
 }
 
 // send sends the messages that are due.
--- a/internal/leverallow/client.go
+++ b/internal/leverallow/client.go
@@ -112,6 +112,10 @@
 		r.decide(Decision{Granted: true})
 		return r
 	}
+	if wait := w.over.refuse(c.terms.Window, now); wait > 0 {
+		r.decide(Decision{RetryAfter: wait})
+		return r
+	}
 	w.queue = append(w.queue, r)
 	c.pending[name] = w
 	return r
--- a/internal/leverallow/due.go
+++ b/internal/leverallow/due.go
@@ -151,7 +151,8 @@
 			continue
 		}
 		to := d.managers[groupOf(name, len(d.loans))]
-		if to == "" {
+		if to == "" || len(w.queue) == 0 && d.messages[to] == nil {
+			// Tokens are given back with the next message that renews votes.
 			continue
 		}
 		seq := d.seq + 1
--- a/internal/leverallow/fleet.go
+++ b/internal/leverallow/fleet.go
@@ -18,12 +18,12 @@
 	// its predecessor's vote must have ended.
 	startSilence = 600 * time.Millisecond
 	// JoinSilence is how long a VM that is new in the list lends no vote. The others
-	// count it within 4 s of the change, or know that their list may be outdated.
-	JoinSilence = 6 * time.Second
+	// count it before that, or know that their list may be outdated.
+	JoinSilence = 4500 * time.Millisecond
 	// listValidity is how long after its last path to the store a VM's list counts as
 	// up to date. The rest of JoinSilence covers the time in which the loss of the
 	// path is noticed.
-	listValidity = 4 * time.Second
+	listValidity = 2500 * time.Millisecond
 	// doubtTime is how long a process that has been stopped takes its list for outdated.
 	// The loss of its path to the store is noticed in less time.
 	doubtTime = 2 * time.Second
--- a/internal/leverallow/load_test.go
+++ b/internal/leverallow/load_test.go
@@ -200,3 +200,49 @@
 	t.Log(s.messages - before)
 	is.True(s.messages-before < 9*3+10) // of which up to 27 renew votes
 }
+
+// TestRetriesWithoutPause has a caller retry 2,000 times a second at one VM. Most are
+// refused there, so that the manager gets few messages.
+func TestRetriesWithoutPause(t *testing.T) {
+	is := is.New(t)
+	orgs := map[leverid.OrganisationID]Limit{"org": {Version: 1, Rate: 5, Burst: 5}}
+	s := newSim(1, 9, orgs)
+	s.run(10 * time.Second)
+	before := s.messages
+	for i := range 4000 {
+		s.after(time.Duration(i)*500*time.Microsecond, func() { s.vms[8].request("org") })
+	}
+	s.run(s.now + 2100*time.Millisecond)
+	n := len(s.admitted["org"])
+	is.True(n >= 26 && n <= 28) // burst, jitter part and two seconds
+	is.Equal(s.refused["org"], 4000-n)
+	t.Log("messages", s.messages-before)
+	is.True(s.messages-before < 9*3*11+2*200) // of which up to 297 renew votes
+}
+
+// TestReturnedTokens gives back all requests that were taken. They can be taken again,
+// through another VM.
+func TestReturnedTokens(t *testing.T) {
+	is := is.New(t)
+	l := Limit{Version: 1, Rate: 0.001, Burst: 5}
+	s := newSim(1, 9, map[leverid.OrganisationID]Limit{"org": l})
+	s.run(10 * time.Second)
+	take := func(v *simVM) (granted int) {
+		for range 20 {
+			w := v.client.Take("org", l, v.clock())
+			v.send()
+			s.run(s.now + 10*time.Millisecond)
+			if w.decided() && w.Decision.Granted {
+				granted++
+			}
+		}
+		return granted
+	}
+	first := take(s.vms[7])
+	is.True(first >= 2) // at least the handover's
+	for range first {
+		s.vms[7].client.Return("org", s.vms[7].clock())
+	}
+	s.run(s.now + 300*time.Millisecond)
+	is.Equal(take(s.vms[8]), first)
+}
--- a/internal/leverallow/wallet.go
+++ b/internal/leverallow/wallet.go
@@ -63,10 +63,36 @@
 	// demand is the estimated number of requests per second, as of demandAt.
 	demand   float64
 	demandAt time.Time
+	// over is what the manager has said last about an allowance that is used up.
+	over overLimit
 	// fallbackAt is when the VM last ran a request without a manager.
 	fallbackAt time.Time
 }
 
+// overTime is for how long requests are refused without asking the manager again, so that
+// callers that retry without a pause cost few messages. It is the least time after which
+// a refused request is told to come again.
+const overTime = minWait
+
+// overLimit refuses requests until a time.
+type overLimit struct {
+	until time.Time
+	// next is when the next of the refused requests may come again, step the time
+	// between any two.
+	next time.Time
+	step time.Duration
+}
+
+// refuse returns when a request may come again, or 0 if the manager has to be asked.
+func (o *overLimit) refuse(window time.Duration, now time.Time) time.Duration {
+	if !now.Before(o.until) {
+		return 0
+	}
+	wait := min(max(o.next.Sub(now), minWait), window)
+	o.next = o.next.Add(o.step)
+	return wait
+}
+
 // askInFlight is an ask without a reply.
 type askInFlight struct {
 	to      leverid.VMID
@@ -167,6 +193,9 @@
 		}
 		w.leave(r)
 	}
+	if refused > 0 {
+		w.over = overLimit{now.Add(overTime), now.Add(g.wait(refused)), g.wait(1) - g.wait(0)}
+	}
 	w.put(left, until, now)
 	return undecided
 }
