internal/leverallow: a VM that knows of no live VM, calm from a whole start

Cause: the order of candidates was not rebuilt when the number of groups changed while no VM was live, and the calm test had VMs that had been listed before. Change: the order follows the number of groups, which is by the list also for a VM that is not in it; the calm test starts all VMs as new ones 10 s before its traffic.

--- a/internal/leverallow/calm_test.go
+++ b/internal/leverallow/calm_test.go
@@ -80,6 +80,9 @@
 	is := is.New(t)
 	orgs, usual := zipf(79, 1.2, 48)
 	s := newSim(1, 73, orgs)
+	for _, v := range s.vms {
+		v.listedSince = 0 // the fleet starts whole, 10 s before its traffic
+	}
 	s.run(10 * time.Second)
 	requests := 100_000
 	if testing.Short() {
--- a/internal/leverallow/client.go
+++ b/internal/leverallow/client.go
@@ -60,14 +60,14 @@
 	defer c.mu.Unlock()
 	c.fleet = f
 	c.standing.update(&f, now)
-	if n := groupCount(f.Listed); n != len(c.loans) {
+	if n := groupCount(len(f.List)); n != len(c.loans) {
 		for i := range c.loans {
 			if end := c.loans[i].until.Add(leaseMargin); end.After(c.quietUntil) {
 				c.quietUntil = end
 			}
 		}
 		c.loans, c.hints = make([]loan, n), make([]leverid.VMID, n)
-		c.candidates = nil
+		c.order = nil
 	}
 	c.rankCandidates()
 }
@@ -75,7 +75,7 @@
 // rankCandidates orders the candidates for each group if they have changed.
 func (c *Client) rankCandidates() {
 	candidates := c.fleet.candidates()
-	if slices.Equal(candidates, c.candidates) {
+	if len(c.order) == len(c.loans) && slices.Equal(candidates, c.candidates) {
 		return
 	}
 	c.candidates = slices.Clone(candidates)
--- a/internal/leverallow/fleet.go
+++ b/internal/leverallow/fleet.go
@@ -56,7 +56,7 @@
 
 // candidates returns the VMs that may become managers.
 func (f *Fleet) candidates() []leverid.VMID {
-	return f.Ranked[:min(groupCount(f.Listed), maxManagers, len(f.Ranked))]
+	return f.Ranked[:min(maxManagers, len(f.Ranked))]
 }
 
 // standing is the weight of a VM's vote, by what it has known of the list. Its methods
--- a/internal/leverallow/load_test.go
+++ b/internal/leverallow/load_test.go
@@ -246,3 +246,19 @@
 	s.run(s.now + 300*time.Millisecond)
 	is.Equal(take(s.vms[8]), first)
 }
+
+// TestNoVMIsLive has a VM that knows of no live VM, as one that leaves alone, while the
+// list grows. It must decide without a manager.
+func TestNoVMIsLive(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := NewClient(terms, "vm0", 1, now)
+	for _, listed := range []int{0, 1, 300, 1} {
+		now = now.Add(10 * time.Second)
+		c.SetFleet(Fleet{Listed: listed, Current: true, List: make([]leverid.VMID, listed)}, now)
+		w := c.Take("org", Limit{Version: 1, Rate: 1}, now)
+		is.Equal(len(c.Due(now)), 0)
+		c.GiveUp(w, now)
+		is.True(w.Decision.Undecided || w.Decision.Fallback)
+	}
+}
