internal/leverbudget: settings without a window allow no extra attempts

A process whose settings had no retryWindowS ended with a division by zero at its first request. TestNoWindow failed with that panic before the change.

--- a/internal/leverbudget/budget.go
+++ b/internal/leverbudget/budget.go
@@ -50,7 +50,8 @@
 	Ratio float64
 	// Slack is the number of extra attempts allowed in addition per window.
 	Slack float64
-	// Window is the length of the sliding window.
+	// Window is the length of the sliding window. If it is 0, there are no extra
+	// attempts.
 	Window time.Duration
 }
 
@@ -112,6 +113,9 @@
 func (b *Budget) CountRequest(s leverid.ServiceID, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.Terms.Window < buckets {
+		return
+	}
 	w, i := b.bucket(s, now)
 	w.requests[i]++
 }
@@ -120,6 +124,9 @@
 func (b *Budget) Take(s leverid.ServiceID, use Use, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.Terms.Window < buckets {
+		return false
+	}
 	w, i := b.bucket(s, now)
 	limit := b.Terms.Ratio*usableFraction*sum(&w.requests) + b.slack(now)
 	if use == Hedge {
@@ -137,6 +144,9 @@
 func (b *Budget) Return(s leverid.ServiceID, taken, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.Terms.Window < buckets {
+		return
+	}
 	w, _ := b.bucket(s, now)
 	n := int64(taken.Sub(b.start) / (b.Terms.Window / buckets))
 	if i := n % (buckets + 1); n >= 0 && n > w.last-(buckets+1) && w.extras[i] > 0 {
--- a/internal/leverbudget/budget_test.go
+++ b/internal/leverbudget/budget_test.go
@@ -137,3 +137,15 @@
 		})
 	}
 }
+
+// TestNoWindow guards against a division by zero with settings that state no window: there
+// are no extra attempts then.
+func TestNoWindow(t *testing.T) {
+	is := is.New(t)
+	b := leverbudget.Budget{Terms: leverbudget.Terms{Ratio: 0.2, Slack: 50}}
+	now := time.Unix(1000, 0)
+	b.SetShare(1, now)
+	b.CountRequest("s", now)
+	is.True(!b.Take("s", leverbudget.Retry, now.Add(time.Minute)))
+	b.Return("s", now, now.Add(time.Minute))
+}
