internal/leverrank, leverpool: withdrawn calls do not count in the order of waiting calls

A call that was withdrawn while it waited for a connection, because its time was over or another attempt had answered, still moved back the next calls of its organisation. After a flood of calls that timed out, an organisation waited for all calls of the others. The later calls of the organisation now move up when one is withdrawn, and the next one gets the position that is left.

TestWithdrawnCalls fails without the change: the calls of the others are all sent first (c0 b0 b1 b2 a3 b3 a7 a10 a11). With it, the organisations take turns.

--- a/internal/leverpool/order_test.go
+++ b/internal/leverpool/order_test.go
@@ -1,6 +1,7 @@
 package leverpool_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -48,3 +49,43 @@
 		})
 	}
 }
+
+// TestWithdrawnCalls withdraws calls of a flood while others wait. It guards against an
+// organisation whose next calls wait as if the withdrawn ones had been sent, and against
+// calls of one organisation in another order than that of arrival.
+func TestWithdrawnCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newHoldingPool(&holdingServer{hold: 20 * time.Millisecond})
+		defer p.stop()
+		sent := make(chan string, 20)
+		start := func(name string) *leverpool.Exchange {
+			target := leverpool.Target{
+				Upstream: &leverdirectory.Upstream{ID: "u", Address: "u:80"}, MaxConnections: 1,
+				Flow: leverrank.Flow{Organisation: leverid.OrganisationID(name[:1]), Work: 0.02},
+			}
+			call := leverpool.NewCall(http.MethodGet, "/a", "h.example", nil, nil)
+			return p.Send(target, call, func() http.Header { sent <- name; return nil }, func(*http.Response) error { return nil }, func(_ *leverpool.Reply, err error) { p.results <- err })
+		}
+		start("c0")
+		var flood []*leverpool.Exchange
+		for i := range 10 {
+			flood = append(flood, start(fmt.Sprint("a", i)))
+		}
+		start("b0")
+		for i, x := range flood {
+			if i != 3 && i != 7 && !x.Withdraw() {
+				t.Errorf("a%d was not withdrawn", i)
+			}
+		}
+		for _, name := range []string{"b1", "b2", "b3", "a10", "a11"} {
+			start(name)
+		}
+		var got []string
+		for range 9 {
+			got = append(got, <-sent)
+		}
+		if s, want := strings.Join(got, " "), "c0 a3 b0 a7 b1 b2 a10 b3 a11"; s != want {
+			t.Errorf("sent in the order %s, want %s", s, want)
+		}
+	})
+}
--- a/internal/leverpool/wait.go
+++ b/internal/leverpool/wait.go
@@ -128,6 +128,8 @@
 	s := x.target.Upstream.Service
 	for i, w := range p.waiting[s] {
 		if w == x {
+			i = moveUp(p.waiting[s], i)
+			p.orders[s].Withdrawn(x.target.Flow.Organisation, x.position)
 			p.setWaiting(s, without(p.waiting[s], i))
 			return true
 		}
@@ -135,6 +137,22 @@
 	return false
 }
 
+// moveUp exchanges the call at index i with the later ones of its organisation, each of
+// which gets the position of the one before, and returns the call's index.
+func moveUp(list []*Exchange, i int) int {
+	x := list[i]
+	for j := i + 1; j < len(list); j++ {
+		y := list[j]
+		if y.target.Flow.Organisation != x.target.Flow.Organisation {
+			continue
+		}
+		x.position, y.position = y.position, x.position
+		list[i], list[j] = y, x
+		i = j
+	}
+	return i
+}
+
 // without returns the list without the call at index i, usually the first one.
 func without(list []*Exchange, i int) []*Exchange {
 	if i == 0 {
--- a/internal/leverrank/order.go
+++ b/internal/leverrank/order.go
@@ -53,6 +53,15 @@
 // Sent records that the call at a position is sent.
 func (o *Order) Sent(position float64) { o.now = max(o.now, position) }
 
+// Withdrawn records that an organisation's call with the last of its positions is not
+// sent. Its next call gets that position, so that it does not wait for work that was not
+// done.
+func (o *Order) Withdrawn(organisation leverid.OrganisationID, position float64) {
+	s := o.flows[organisation]
+	s.next = position
+	o.flows[organisation] = s
+}
+
 // meanWeight returns the mean weight of the organisations that have one, or 1.
 func (o *Order) meanWeight() float64 {
 	sum, n := 0.0, 0
