internal/leverrank: deterministic replays, bounds from the stated targets

The limiter used the global random numbers, and sums over maps of accounts and promises depended on their order, so that replays with the same seed differed. Limiter has a source of random numbers that tests set (the default is as before), accounts are kept in order, and promised work is a whole number. TestOneOrganisation now compares each decision instead of the number of admitted requests within 100.

Those with a flood must also be served half as often as all, by work and without an allowance for chance. TestWorstTenth counts the requests of all organisations; those beyond the limit of a hot one are left out with three hot ones, and with one the bound holds with and without them.

Decision: an account holds four requests instead of two; beside the largest of 79 the others are served 0.962 instead of 0.923. The least that an organisation is served is 0.57 of what all are instead of 0.55, as 0.236 of 0.48 was seen in 30 sets of seeds.

--- a/internal/leverrank/limiter.go
+++ b/internal/leverrank/limiter.go
@@ -56,6 +56,9 @@
 	// Floors are the fractions of the capacity that the ranks keep, whatever
 	// the demand of the others. If all are zero, defaultFloors apply.
 	Floors Floors
+	// Random is the source of random numbers, by default the global one. Replays set one
+	// with a fixed seed.
+	Random *rand.Rand
 
 	mu     sync.Mutex
 	demand Meter
@@ -297,7 +300,15 @@
 		if before[i] == 0 || before[i] == 1 {
 			// A random start keeps VMs that see few requests from all beginning
 			// with a refusal.
-			l.carry[i] = rand.Float64()
+			l.carry[i] = l.random()
 		}
 	}
 }
+
+// random returns a random number in [0, 1).
+func (l *Limiter) random() float64 {
+	if l.Random == nil {
+		return rand.Float64()
+	}
+	return l.Random.Float64()
+}
--- a/internal/leverrank/returns.go
+++ b/internal/leverrank/returns.go
@@ -40,7 +40,7 @@
 	due time.Time
 	// tokens are reserved in the account. They are less than the request's work because
 	// some requests don't return.
-	tokens float64
+	tokens time.Duration
 }
 
 // returns remembers the refused requests of one rank. The zero value is ready to use.
@@ -87,7 +87,9 @@
 	if s.promises == nil {
 		s.promises = make(map[contentKey]promise)
 	}
-	tokens := s.fraction() * r.Work
+	// Two requests with the same content may both be declined by upstreams.
+	a.promised = max(a.promised-s.promises[r.key()].tokens, 0)
+	tokens := time.Duration(s.fraction() * r.Work * float64(time.Second))
 	a.promised += tokens
 	s.promises[r.key()] = promise{due: now.Add(wait), tokens: tokens}
 	return wait
--- a/internal/leverrank/returns_test.go
+++ b/internal/leverrank/returns_test.go
@@ -1,7 +1,7 @@
 package leverrank_test
 
 import (
-	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -53,9 +53,14 @@
 	return refused
 }
 
-func newSteady() *steady {
+func newSteady() *steady { return newLoaded(20000) }
+
+// newLoaded returns a limiter that has had the usual load for the given number of
+// milliseconds.
+func newLoaded(steps int) *steady {
 	s := &steady{now: time.Unix(1000, 0)}
-	for range 20000 {
+	s.limiter.Random = rand.New(rand.NewPCG(1, 1))
+	for range steps {
 		s.step()
 	}
 	return s
@@ -95,6 +100,29 @@
 	is.Equal(early, 0)
 }
 
+// TestDeclinedAlike guards against tokens that stay reserved after upstreams have declined
+// several requests with the same content.
+func TestDeclinedAlike(t *testing.T) {
+	// It is not known yet how many requests return, so that much is reserved for them.
+	s := newLoaded(1000)
+	for range 1000 {
+		s.limiter.Declined(&leverrank.Request{Rank: leverid.Bulk, Work: steadyWork, Organisation: "b", Content: 1 << 40}, s.now)
+	}
+	const offers = 500
+	served := 0
+	for i := range offers {
+		for range 10 {
+			s.step()
+		}
+		if s.offer("b", leverid.Fingerprint(1<<41+i)).Admitted {
+			served++
+		}
+	}
+	if served < offers*9/10 {
+		t.Errorf("b was served %d of %d requests, want at least nine tenths", served, offers)
+	}
+}
+
 // TestReturnsAreSpread guards against refused requests that all return at once.
 func TestReturnsAreSpread(t *testing.T) {
 	s := newSteady()
@@ -151,19 +179,18 @@
 // organisation, and while only one is active.
 func TestOneOrganisation(t *testing.T) {
 	is := is.New(t)
-	var before, one leverrank.Limiter
+	before, one := leverrank.Limiter{Random: rand.New(rand.NewPCG(1, 1))}, leverrank.Limiter{Random: rand.New(rand.NewPCG(1, 1))}
 	now := time.Unix(1000, 0)
-	admitted := [2]int{}
+	admitted := 0
 	for i := range 30000 {
 		now = now.Add(time.Millisecond)
 		rank := leverid.Rank(i % leverid.RankCount)
-		if before.Admit(rank, 0.0025, now) {
-			admitted[0]++
+		was := before.Admit(rank, 0.0025, now)
+		if was {
+			admitted++
 		}
 		a := one.AdmitRequest(&leverrank.Request{Rank: rank, Work: 0.0025, Organisation: "o", Weight: 3, Content: leverid.Fingerprint(i)}, now)
-		if a.Admitted {
-			admitted[1]++
-		}
+		is.Equal(a.Admitted, was)
 		is.Equal(a.RetryAfter, time.Duration(0))
 		for _, l := range []*leverrank.Limiter{&before, &one} {
 			if i%5 < 2 {
@@ -173,7 +200,5 @@
 			}
 		}
 	}
-	is.True(admitted[0] < 20000) // the work is limited
-	// The first request after a change may be admitted by chance.
-	is.True(math.Abs(float64(admitted[0]-admitted[1])) < 100)
+	is.True(admitted < 20000) // the work is limited
 }
--- a/internal/leverrank/share.go
+++ b/internal/leverrank/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverid"
@@ -24,17 +25,20 @@
 	// leastServed is the least fraction of an organisation's work that is admitted,
 	// relative to the fraction of all work of its rank: no one is served less than half
 	// as often as all. At 0.5, the hot organisation of TestShares at 1.2 times the capacity
-	// was served 0.22 and all 0.47.
-	leastServed = 0.55
+	// was served 0.22 and all 0.47. At 0.55, it was 0.236 and 0.48 in the worst of 30 sets
+	// of seeds.
+	leastServed = 0.57
 	// burstTime is the time for which an account saves what its organisation has not
 	// used. An account holds burstRequests requests at least, because the time between
-	// two requests of a small organisation is longer.
+	// two requests of a small organisation is longer. At 2, the others beside the largest of
+	// 79 in TestShares were served 0.923, at 4 0.962. At 8, two hot organisations there were
+	// served less than half as often as all.
 	burstTime     = 500 * time.Millisecond
-	burstRequests = 2
+	burstRequests = 4
 	// dueDebt is how many times its most tokens an account may owe for requests that
 	// return at the time that they were told. At 1, 145 of 5,586 in TestShares were refused
-	// again, at 2 13 of 5,496.
-	dueDebt = 4
+	// again, at 2 13 of 5,496. At 4, it was 332 of 549,854 with 1,000 seeds, at 8 none.
+	dueDebt = 8
 	// spareTime is the same for work that no account has used.
 	spareTime = 250 * time.Millisecond
 	// spareReserve is the time, in seconds, of which the spare work is kept for accounts
@@ -45,6 +49,7 @@
 
 // account is the part of a rank's work that one organisation may use.
 type account struct {
+	organisation leverid.OrganisationID
 	// weight is that of the last request, part the one that is used.
 	weight, part float64
 	// work is that of the last request.
@@ -58,14 +63,18 @@
 	rate, tokens float64
 	filled       time.Time
 	offered      time.Time
-	// promised is the part of the tokens that is reserved for requests that return.
-	promised float64
+	// promised is the part of the tokens that is reserved for requests that return. It is
+	// a whole number, so that the order in which promises expire makes no difference.
+	promised time.Duration
 }
 
 // shares divides the admitted work of one rank among organisations. The zero value is
 // ready to use.
 type shares struct {
 	accounts map[leverid.OrganisationID]*account
+	// order holds the accounts in the order in which they were made, so that sums over
+	// them, and decisions, are the same in each replay.
+	order []*account
 	// active is the number of active organisations.
 	active int
 	// anonymous is the account of requests without an organisation. Only its demand is
@@ -113,8 +122,9 @@
 	if s.accounts == nil {
 		s.accounts = make(map[leverid.OrganisationID]*account)
 	}
-	a = &account{filled: now, tokens: burstRequests * r.Work}
+	a = &account{organisation: r.Organisation, filled: now, tokens: burstRequests * r.Work}
 	s.accounts[r.Organisation] = a
+	s.order = append(s.order, a)
 	return a
 }
 
@@ -124,13 +134,16 @@
 	s.anonymous.endWindow(seconds)
 	s.active = 0
 	total := 0.0
-	for name, a := range s.accounts {
+	s.order = slices.DeleteFunc(s.order, func(a *account) bool {
+		if now.Sub(a.offered) < forgetAfter {
+			return false
+		}
+		delete(s.accounts, a.organisation)
+		return true
+	})
+	for _, a := range s.order {
 		a.endWindow(seconds)
 		idle := now.Sub(a.offered)
-		if idle >= forgetAfter {
-			delete(s.accounts, name)
-			continue
-		}
 		if idle < activeFor {
 			s.active++
 		}
@@ -164,12 +177,12 @@
 	sum := s.setParts()
 	level := s.level(served)
 	left := s.grant
-	for _, a := range s.accounts {
+	for _, a := range s.order {
 		a.fill(now)
 		a.rate = a.granted(level, served)
 		left -= a.rate
 	}
-	for _, a := range s.accounts {
+	for _, a := range s.order {
 		a.rate = max(a.rate+max(left, 0)*a.part/sum, level*a.part)
 	}
 }
@@ -184,7 +197,7 @@
 // for those without one, and returns the sum.
 func (s *shares) setParts() float64 {
 	sum, n := 0.0, 0
-	for _, a := range s.accounts {
+	for _, a := range s.order {
 		if a.weight > 0 {
 			sum += a.weight
 			n++
@@ -195,7 +208,7 @@
 		mean = sum / float64(n)
 	}
 	sum = 0
-	for _, a := range s.accounts {
+	for _, a := range s.order {
 		if a.part = a.weight; a.part <= 0 {
 			a.part = mean
 		}
@@ -212,12 +225,12 @@
 // together get the grant, or the greatest that any of them demands if that is less.
 func (s *shares) level(served float64) float64 {
 	low, high := 0.0, 0.0
-	for _, a := range s.accounts {
+	for _, a := range s.order {
 		high = max(high, a.demand/a.part)
 	}
 	for range levelSteps {
 		middle, sum := (low+high)/2, 0.0
-		for _, a := range s.accounts {
+		for _, a := range s.order {
 			sum += a.granted(middle, served)
 		}
 		if sum > s.grant {
@@ -254,7 +267,7 @@
 	s.fillSpare(now)
 	switch {
 	case due && a.tokens > -dueDebt*a.capacity():
-	case a.tokens-a.promised >= r.Work:
+	case a.tokens-a.promised.Seconds() >= r.Work:
 	case s.spare >= r.Work+spareReserve*s.grant:
 		// No account has used this work.
 		s.spare -= r.Work
@@ -273,6 +286,6 @@
 	if a.rate <= 0 {
 		return math.MaxInt64
 	}
-	seconds := (work + a.promised - a.tokens) / a.rate
+	seconds := (work + a.promised.Seconds() - a.tokens) / a.rate
 	return time.Duration(min(max(seconds, 0), maxReturn.Seconds()+1) * float64(time.Second))
 }
--- a/internal/leverrank/share_test.go
+++ b/internal/leverrank/share_test.go
@@ -65,6 +65,11 @@
 // lasted, and those that were served at last.
 type result struct{ asked, served float64 }
 
+func (r *result) add(other result, factor float64) {
+	r.asked += factor * other.asked
+	r.served += factor * other.served
+}
+
 func (r result) fraction() float64 { return r.served / max(r.asked, 1) }
 
 // replay is the outcome of a load.
@@ -79,20 +84,20 @@
 	returned, refusedTwice int
 }
 
-// overall returns the fraction of all requests that was served.
-func (r *replay) overall() float64 {
-	var sum result
-	for _, c := range r.callers {
-		sum.asked += c.asked
-		sum.served += c.served
+// overall returns the fractions of all requests, and of all work, that were served.
+func (r *replay) overall(callers []caller) (count, work float64) {
+	var sum, seconds result
+	for i, c := range r.callers {
+		sum.add(c, 1)
+		seconds.add(c, callers[i].work)
 	}
-	return sum.fraction()
+	return sum.fraction(), seconds.served / seconds.asked
 }
 
 // run replays a load against a limiter and one upstream with a queue. If fair is not
 // set, the limiter does not know the organisations.
 func run(callers []caller, fair bool, seed uint64) *replay {
-	var l leverrank.Limiter
+	l := leverrank.Limiter{Random: rand.New(rand.NewPCG(seed, 1))}
 	out := &replay{callers: make([]result, len(callers)), day: make([]result, len(callers))}
 	random := rand.New(rand.NewPCG(seed, 0))
 	var queue arrivals
@@ -207,40 +212,50 @@
 		hot(6, 0)(i, c)
 		c.impatient, c.persistent = 0.1, 0.5
 	}
+	// The page demands 0.9 for the worst tenth on a day with a hot organisation. For all
+	// others together, whose load alone can be served, the bound is 0.93. It is 0.9 without
+	// limits: the shares are equal then, and the usual load of the largest organisation is
+	// four times an equal share. At 1.6 times the capacity, it
+	// is half of 1/1.6, as no one is served less than half as often as all. At 1.2 times and
+	// with a flood, all are served 1/2.03 at most. If the hot one gets half of that, 0.73
+	// is left for the others, and the bound is 0.9 of it.
 	cases := map[string]struct {
 		callers []caller
 		// others and hot are the least fractions of their requests that the organisations
-		// without and with a flood are served, other than by chance.
+		// without and with a flood are served, other than by chance. Those with a flood
+		// are also served half as often as all, by work.
 		others, hot float64
-		// before is the most that those without a flood are served without shares.
+		// before is the most that those without a flood are served without shares: less
+		// than the page demands, so that the load needs them. It is 1 where the ranks or a
+		// lack of capacity decide.
 		before float64
 	}{
 		"one hot organisation":               {unequal(20, 0.7, hot(6, 1)), 0.93, 0.3, 0.9},
-		"a hot one of 79":                    {unequal(79, 0.7, hot(7.5, 0)), 0.90, 0.3, 0.85},
+		"a hot one of 79":                    {unequal(79, 0.7, hot(7.5, 0)), 0.93, 0.3, 0.85},
 		"three hot organisations":            {unequal(20, 0.7, hot(6, 1, 4, 9)), 0.93, 0.3, 0.8},
 		"retries without a pause":            {unequal(20, 0.7, impatient), 0.93, 0.2, 0.9},
 		"returns in time":                    {unequal(20, 0.7, persistent), 0.93, 0.2, 0.9},
-		"without limits":                     {unequal(20, 0.7, func(i int, c *caller) { hot(6, 1)(i, c); c.weight = 0 }), 0.85, 0.3, 0.9},
+		"without limits":                     {unequal(20, 0.7, func(i int, c *caller) { hot(6, 1)(i, c); c.weight = 0 }), 0.9, 0.3, 0.9},
 		"costly requests of a hot one":       {unequal(20, 0.7, func(i int, c *caller) { hot(6, 1)(i, c); costly(i, c) }), 0.93, 0.3, 0.9},
 		"flood of the least urgent rank":     {unequal(20, 0.7, func(i int, c *caller) { hot(20, 2)(i, c); c.rank = leverid.Rank(i % leverid.RankCount) }), 0.93, 0.05, 1},
 		"too little capacity for all":        {unequal(20, 1.6, nil), 0.31, 0, 1},
-		"too little capacity, and a hot one": {unequal(20, 1.2, hot(6, 1)), 0.6, 0.15, 1},
+		"too little capacity, and a hot one": {unequal(20, 1.2, hot(6, 1)), 0.66, 0.15, 1},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			fair, before := mean(c.callers, true), mean(c.callers, false)
+			all, allWork := fair.overall(c.callers)
 			var others, othersBefore, floods result
 			for i, r := range fair.callers {
-				if r.fraction() < 0.5*fair.overall()-chance(r) {
-					t.Errorf("organisation %d was served %.2f of %.0f requests, all were served %.2f", i, r.fraction(), r.asked, fair.overall())
+				if r.fraction() < 0.5*all-chance(r) {
+					t.Errorf("organisation %d was served %.2f of %.0f requests, all were served %.2f", i, r.fraction(), r.asked, all)
 				}
 				if c.callers[i].flood > 0 {
-					floods = result{floods.asked + r.asked, floods.served + r.served}
+					floods.add(r, 1)
 					continue
 				}
-				others = result{others.asked + r.asked, others.served + r.served}
-				othersBefore.asked += before.callers[i].asked
-				othersBefore.served += before.callers[i].served
+				others.add(r, 1)
+				othersBefore.add(before.callers[i], 1)
 				if least := c.others - margin - chance(r); r.fraction() < least {
 					t.Errorf("organisation %d was served %.2f of %.0f requests, want at least %.2f", i, r.fraction(), r.asked, least)
 				}
@@ -249,8 +264,8 @@
 			if others.fraction() < c.others {
 				t.Errorf("organisations without a flood were served %.3f, want at least %.2f", others.fraction(), c.others)
 			}
-			if floods.asked > 0 && floods.fraction() < c.hot {
-				t.Errorf("organisations with a flood were served %.3f, want at least %.2f", floods.fraction(), c.hot)
+			if least := max(c.hot, 0.5*allWork); floods.asked > 0 && floods.fraction() < least {
+				t.Errorf("organisations with a flood were served %.3f, want at least %.3f", floods.fraction(), least)
 			}
 			if othersBefore.fraction() > c.before {
 				t.Errorf("without shares, organisations without a flood were served %.3f, want at most %.2f", othersBefore.fraction(), c.before)
@@ -265,27 +280,42 @@
 	}
 }
 
+// owed returns the requests of an organisation over the whole day, except those beyond its
+// limit during its flood. The limiter can't tell which requests of a flood are usual, so
+// that what it serves counts up to the limit.
+func (r *replay) owed(i int, c caller) result {
+	day, flood := r.day[i], r.callers[i]
+	if c.flood == 0 {
+		return day
+	}
+	limit := min(flood.asked, float64(replays)*c.weight*(floodEnd-floodStart).Seconds())
+	return result{
+		asked:  day.asked - flood.asked + limit,
+		served: day.served - flood.served + min(flood.served, limit),
+	}
+}
+
 // worstTenth returns how many requests the worst tenth of the organisations were served,
-// relative to the mean of all. Those with a flood are left out if usual is set.
-func (r *replay) worstTenth(callers []caller, usual bool) float64 {
+// relative to the mean of all.
+func worstTenth(results []result) float64 {
 	var fractions []float64
 	sum := 0.0
-	for i, c := range r.day {
-		sum += c.fraction()
-		if !usual || callers[i].flood == 0 {
-			fractions = append(fractions, c.fraction())
-		}
+	for _, r := range results {
+		sum += r.fraction()
+		fractions = append(fractions, r.fraction())
 	}
 	slices.Sort(fractions)
 	worst, n := 0.0, (len(fractions)+9)/10
 	for _, f := range fractions[:n] {
 		worst += f / float64(n)
 	}
-	return worst / (sum / float64(len(r.day)))
+	return worst / (sum / float64(len(results)))
 }
 
-// TestWorstTenth guards against small organisations that are served worse than the others
-// on a day with hot ones. The requests of a flood count as all others if all is set.
+// TestWorstTenth guards against organisations that are served worse than the others on a
+// day with hot ones. The bound is the page's goal. It holds for all organisations without
+// their requests beyond the limit, which are not owed to them, and with one hot
+// organisation also with those if all is set.
 func TestWorstTenth(t *testing.T) {
 	cases := map[string]struct {
 		hot []int
@@ -297,10 +327,20 @@
 		t.Run(name, func(t *testing.T) {
 			callers := unequal(79, 0.7, hot(7.5, c.hot...))
 			fair := mean(callers, true)
-			t.Logf("worst tenth %.3f of the mean, without those with a flood %.3f", fair.worstTenth(callers, false), fair.worstTenth(callers, true))
-			if worst := fair.worstTenth(callers, !c.all); worst < 0.9 {
+			var owed []result
+			for i, caller := range callers {
+				owed = append(owed, fair.owed(i, caller))
+			}
+			for _, i := range c.hot {
+				t.Logf("hot organisation %d was served %.3f of what it asked within its limit, and %.3f of all", i, owed[i].fraction(), fair.day[i].fraction())
+			}
+			t.Logf("worst tenth %.3f of the mean, with requests beyond the limit %.3f", worstTenth(owed), worstTenth(fair.day))
+			if worst := worstTenth(owed); worst < 0.9 {
 				t.Errorf("the worst tenth of the organisations was served %.3f of the mean, want at least 0.9", worst)
 			}
+			if worst := worstTenth(fair.day); c.all && worst < 0.9 {
+				t.Errorf("with requests beyond the limit, the worst tenth was served %.3f of the mean, want at least 0.9", worst)
+			}
 		})
 	}
 }
@@ -321,19 +361,19 @@
 // organisation.
 func chance(r result) float64 { return 1.5 / math.Sqrt(max(r.asked, 1)) }
 
+// replays is how many replays with different seeds a load has.
+const replays = 10
+
 // mean returns the sum of several replays.
 func mean(callers []caller, fair bool) *replay {
-	const n = 10
 	sum := &replay{callers: make([]result, len(callers)), day: make([]result, len(callers))}
-	for seed := range uint64(n) {
+	for seed := range uint64(replays) {
 		r := run(callers, fair, seed)
 		for i, c := range r.callers {
-			sum.callers[i].asked += c.asked
-			sum.callers[i].served += c.served
-			sum.day[i].asked += r.day[i].asked
-			sum.day[i].served += r.day[i].served
+			sum.callers[i].add(c, 1)
+			sum.day[i].add(r.day[i], 1)
 		}
-		sum.work += r.work / n
+		sum.work += r.work / replays
 		sum.returned += r.returned
 		sum.refusedTwice += r.refusedTwice
 	}
