internal/leverengine: rejections by queues count once

A call that a queue in front of an upstream rejected was counted as a refusal when it ended and again as a call that an upstream had declined. Only the first count is left, which is that of requests without an organisation. No test counts such calls on its own.

--- a/internal/leverengine/admit.go
+++ b/internal/leverengine/admit.go
@@ -7,7 +7,10 @@
 	"arbutuslever.dev/lever/internal/leverhealth"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/levermetric"
+	"arbutuslever.dev/lever/internal/leverpool"
 	"arbutuslever.dev/lever/internal/leverrank"
+
+	"github.com/juju/errors"
 )
 
 const (
@@ -107,6 +110,9 @@
 	for _, a := range f.attempts {
 		if p := &f.parts[a.part]; a.handled && a.kind == leverhealth.Shed {
 			declined = true
+			if errors.Is(a.err, leverpool.ErrQueueRejected) {
+				continue // counted when the attempt ended
+			}
 			f.limiter.ObserveShed(p.service, a.upstream().ID, !p.done, now)
 		}
 	}
