internal/levercost, leverhealth, leverengine: hedges by age and expected gain

Cause: all open parts were hedged at fixed times, without regard to how long an attempt had been in flight. One call that a pause of 100 ms had delayed kept the upstream avoided for 2 s, and one that became 8 times slower was tried again every 2.4 s by each VM.

Change: package levercost holds the distribution of times, relative to what was expected of each call, and decides on a second attempt by the time that the first one is expected to have left, its probability to miss the objective and the budget that is used. Hedges wait while the VM itself seems to be late. The tracker keeps an upstream's usual and present slowness over all classes, and clips outliers.

--- a/internal/leverengine/choose.go
+++ b/internal/leverengine/choose.go
@@ -4,12 +4,27 @@
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverdirectory"
+	"arbutuslever.dev/lever/internal/leverhealth"
 )
 
 // remoteDomainFactor scales the estimated time of an upstream in another failure
 // domain, because traffic between domains is billed and has a longer round trip.
 const remoteDomainFactor = 1.6
 
+// Estimator estimates how long calls take. The upstream with the shortest time is
+// chosen.
+type Estimator interface {
+	Estimate(u *leverdirectory.Upstream, c leverhealth.Class, now time.Time) time.Duration
+}
+
+// estimator returns the configured Estimator, or the tracker if there is none.
+func (e *Engine) estimator() Estimator {
+	if e.Estimator != nil {
+		return e.Estimator
+	}
+	return e.Health
+}
+
 // candidates returns the candidates for the next attempt at a part.
 func (p *part) candidates() candidates {
 	return candidates{service: p.service, earlier: p.attempts, inFlight: p.inFlight > 0}
@@ -37,7 +52,7 @@
 			if !accept(u) {
 				continue
 			}
-			expected := f.engine.Health.Estimate(u, f.class, now)
+			expected := f.engine.estimator().Estimate(u, f.class, now)
 			if u.Domain != f.engine.Domain {
 				expected = time.Duration(remoteDomainFactor * float64(expected))
 			}
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -58,6 +58,10 @@
 	Delegate Delegate
 	// Brancher, if set, may run parts of fan-outs on other VMs.
 	Brancher Brancher
+	// Estimator, if set, estimates the times of calls instead of Health.
+	Estimator Estimator
+	// Hedges, if set, decides on hedges instead of Health.
+	Hedges HedgePolicy
 	// Allowance, if set, limits the requests of organisations.
 	Allowance Allowance
 
--- a/internal/leverhealth/tracker.go
+++ b/internal/leverhealth/tracker.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"arbutuslever.dev/lever/internal/levercost"
 	"arbutuslever.dev/lever/internal/leverdirectory"
 )
 
@@ -51,8 +52,7 @@
 	// classWeight is the minimum weight of a new observation in the moving
 	// averages of a class, which cover all upstreams.
 	classWeight = 0.01
-	// decayHalfLife is the half-life of an estimate without new observations.
-	// Upstreams typically stay slow for a few seconds.
+	// decayHalfLife is the half-life of a failure rate without new observations.
 	decayHalfLife = 2 * time.Second
 	// minAvoidance and maxAvoidance limit how long an upstream is avoided after
 	// a failed connection. The time doubles with each failure.
@@ -91,6 +91,8 @@
 	states  map[leverdirectory.Key]*state
 	classes map[Class]*classStats
 	blocks  blocks
+	// shape is the distribution of the times of all classes.
+	shape levercost.Shape
 }
 
 // classStats holds the response time statistics of a class over all upstreams,
@@ -101,6 +103,9 @@
 	// queue.
 	base float64
 	n    int
+	// shape is the distribution of the times, relative to what was expected of each
+	// upstream.
+	shape levercost.Shape
 }
 
 // state holds the estimates for one incarnation of an upstream.
@@ -108,9 +113,9 @@
 	seen         time.Time
 	inFlight     []time.Time
 	lastResponse time.Time
-	// slowness is the ratio of the upstream's time to the class's mean, by
-	// class.
-	slowness map[Class]*decayingMean
+	// slowness is the ratio of the upstream's time to the class's mean, of all
+	// classes.
+	slowness slowness
 	// failureRate is the fraction of calls that failed or were shed.
 	failureRate decayingMean
 	avoidance   time.Duration
@@ -119,19 +124,18 @@
 	coldUntil   time.Time
 }
 
-// decayingMean is an exponentially weighted moving average that decays to base
+// decayingMean is an exponentially weighted moving average that decays to 0
 // without new observations.
 type decayingMean struct {
-	value, base float64
-	at          time.Time
+	value float64
+	at    time.Time
 }
 
 func (m *decayingMean) get(now time.Time) float64 {
 	if m.at.IsZero() {
-		return m.base
+		return 0
 	}
-	decay := math.Exp2(-float64(now.Sub(m.at)) / float64(decayHalfLife))
-	return m.base + (m.value-m.base)*decay
+	return m.value * math.Exp2(-float64(now.Sub(m.at))/float64(decayHalfLife))
 }
 
 func (m *decayingMean) add(v float64, now time.Time) {
@@ -146,7 +150,7 @@
 	}
 	s := t.states[u.Key()]
 	if s == nil {
-		s = &state{slowness: make(map[Class]*decayingMean), coldUntil: now.Add(u.ColdFor), status: Healthy}
+		s = &state{coldUntil: now.Add(u.ColdFor), status: Healthy}
 		t.states[u.Key()] = s
 	}
 	s.seen = now
@@ -250,7 +254,7 @@
 		s.avoidance = 0
 		s.avoidUntil = time.Time{}
 		s.failureRate.add(0, now)
-		t.observe(s, c, now.Sub(start), now)
+		t.observe(s, c, now.Sub(start), false, now)
 	case Shed, Failed:
 		s.lastResponse = now
 		s.failureRate.add(1, now)
@@ -262,16 +266,19 @@
 	case WrongUpstream:
 		s.avoidUntil = now.Add(wrongUpstreamAvoidance)
 	case Canceled:
-		t.observe(s, c, now.Sub(start), now)
+		t.observe(s, c, now.Sub(start), true, now)
 	}
 }
 
 // observe updates the statistics of the class and the upstream with the time of
 // a call. An outlier counts in full for the upstream, but is clipped for the
 // class.
-func (t *Tracker) observe(s *state, c Class, took time.Duration, now time.Time) {
+func (t *Tracker) observe(s *state, c Class, took time.Duration, silent bool, now time.Time) {
 	stats := t.class(c)
 	v := took.Seconds()
+	ratio := v / max(stats.mean, minMean)
+	stats.shape.Add(ratio / s.slowness.usual(now))
+	t.shape.Add(ratio / s.slowness.usual(now))
 	clipped := min(v, stats.mean+4*stats.deviation)
 	stats.n++
 	w := max(classWeight, 1/float64(stats.n+1))
@@ -282,12 +289,7 @@
 	} else {
 		stats.base += baseRiseWeight * min(clipped-stats.base, stats.base)
 	}
-	a := s.slowness[c]
-	if a == nil {
-		a = &decayingMean{base: 1}
-		s.slowness[c] = a
-	}
-	a.add(v/max(stats.mean, 1e-4), now)
+	s.slowness.add(ratio, silent, now)
 }
 
 // SlowAfter returns the time after which a call of the class is unusually
@@ -327,11 +329,8 @@
 	defer t.mu.Unlock()
 	s := t.state(u, now)
 	stats := t.class(c)
-	v := stats.mean
-	if a := s.slowness[c]; a != nil {
-		v *= a.get(now)
-	}
-	v *= 1 + float64(len(s.inFlight))/float64(max(u.Slots, 1))
+	v := stats.mean * s.slowness.get(now)
+	v *= s.load(u)
 	if now.Before(s.coldUntil) {
 		v *= coldFactor
 	}
