internal/leverhealth, leverengine, platform: load headers and the work in flight

Cause: the estimate of a call counted calls in flight alike, however costly and old they were, and knew nothing of the calls of other VMs.

Change: the tracker counts each own call in flight by the mean time of its class and by what a call of its age has left. platform parses X-Server-Load; the tracker uses the stated queue with a half-life of 100 ms and the stated pace with one of 300 ms. Invalid loads are ignored and logged once for each upstream. Routes that allow three attempts get a third one beside two old ones, by the same rule.

--- a/internal/levercost/model_test.go
+++ b/internal/levercost/model_test.go
@@ -1,10 +1,12 @@
 package levercost_test
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,15 +38,14 @@
 // server simulates one upstream. It pauses at regular intervals, in which it finishes
 // no work.
 type server struct {
-	mu         sync.Mutex
-	start      time.Time
-	speed      float64
-	pauseAt    time.Duration
-	spans      []span
-	random     *rand.Rand
-	running    int
-	waiting    []func()
-	executions int
+	mu      sync.Mutex
+	start   time.Time
+	speed   float64
+	pauseAt time.Duration
+	spans   []span
+	random  *rand.Rand
+	running int
+	waiting []func()
 }
 
 // submit runs done once the work is done, with whether the upstream fails.
@@ -60,22 +61,14 @@
 
 func (s *server) begin(done func(fails bool)) {
 	s.running++
-	s.executions++
 	at := time.Since(s.start)
-	work := meanWork / s.speed * math.Exp(workSpread*s.random.NormFloat64()-workSpread*workSpread/2)
+	fails, factor := s.condition(at)
+	work := factor * meanWork / s.speed * math.Exp(workSpread*s.random.NormFloat64()-workSpread*workSpread/2)
 	if s.random.Float64() < longFraction {
 		work *= longFactor
 	}
-	fails := false
-	for _, p := range s.spans {
-		if at < p.from || at >= p.to {
-			continue
-		}
-		if p.fails {
-			fails, work = true, 1e-3
-		} else {
-			work *= p.factor
-		}
+	if fails {
+		work = 1e-3
 	}
 	end := s.addPauses(at, time.Duration(work*float64(time.Second)))
 	time.AfterFunc(end-at, func() {
@@ -91,6 +84,27 @@
 	})
 }
 
+// condition returns whether the upstream fails at a time, and the factor by which it is
+// slower.
+func (s *server) condition(at time.Duration) (fails bool, factor float64) {
+	factor = 1
+	for _, p := range s.spans {
+		if at >= p.from && at < p.to {
+			fails = fails || p.fails
+			factor *= p.factor
+		}
+	}
+	return fails, factor
+}
+
+// load returns the load that the upstream states.
+func (s *server) load() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, factor := s.condition(time.Since(s.start))
+	return fmt.Sprint(s.running, len(s.waiting), slotCount, int(100*factor))
+}
+
 // addPauses returns when work that begins at a time ends.
 func (s *server) addPauses(at, work time.Duration) time.Duration {
 	for {
@@ -111,6 +125,8 @@
 type world struct {
 	list    []leverdirectory.Upstream
 	servers map[leverid.UpstreamID]*server
+	// states is set if the upstreams state their load.
+	states bool
 }
 
 // newWorld returns upstreams that have faults if faulty is set: at a time 15% of them
@@ -139,7 +155,7 @@
 	}
 	const every = 20 * time.Second
 	for from := 5 * time.Second; faulty && from < length; from += every {
-		for _, s := range w.servers2() {
+		for _, s := range w.ordered() {
 			if r.Float64() < 0.15 {
 				s.spans = append(s.spans, span{from: from, to: from + 8*time.Second, factor: 8})
 			}
@@ -152,8 +168,8 @@
 	return w
 }
 
-// servers2 returns the servers in the order of the list.
-func (w *world) servers2() []*server {
+// ordered returns the servers in the order of the list.
+func (w *world) ordered() []*server {
 	var out []*server
 	for i := range w.list {
 		out = append(out, w.servers[w.list[i].ID])
@@ -174,6 +190,8 @@
 	sent, remote int
 	last         map[leverid.UpstreamID]int
 	inFlight     map[leverid.UpstreamID]int
+	// ended, if set, is called at the end of each call with the path and the result.
+	ended func(u *leverdirectory.Upstream, path string, took time.Duration, good bool)
 }
 
 type exchange struct {
@@ -200,9 +218,14 @@
 		delay = remoteDelay
 	}
 	s.mu.Unlock()
+	began := time.Now()
 	x := &exchange{done: func(r *leverpool.Reply, err error) {
 		s.mu.Lock()
 		s.inFlight[u.ID]--
+		if s.ended != nil {
+			good := err == nil && r.Status == http.StatusOK || errors.Is(err, leverpool.ErrCanceled)
+			s.ended(u, strings.Fields(string(call.Head))[1], time.Since(began), good)
+		}
 		s.mu.Unlock()
 		done(r, err)
 	}}
@@ -214,6 +237,9 @@
 					status = http.StatusInternalServerError
 				}
 				h := http.Header{"X-Request-Id": {string(t.Request)}, "Signature": {string(u.ID)}}
+				if s.world.states {
+					h.Set("Load", s.world.servers[u.ID].load())
+				}
 				if err := checkHead(&http.Response{StatusCode: status, Header: h}); err != nil {
 					x.end(nil, err)
 					return
--- a/internal/levercost/replay_test.go
+++ b/internal/levercost/replay_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverbudget"
-	"arbutuslever.dev/lever/internal/levercost"
 	"arbutuslever.dev/lever/internal/levercrash"
 	"arbutuslever.dev/lever/internal/leverdirectory"
 	"arbutuslever.dev/lever/internal/leverengine"
@@ -25,14 +24,13 @@
 
 var (
 	replayLength = flag.Duration("length", 50*time.Second, "length of each replay")
+	attempts     = flag.Int("attempts", 2, "maximum number of attempts of each part")
+	replayRate   = flag.Float64("rate", 48, "requests per second of all VMs and routes")
 	replaySeed   = flag.Uint64("seed", 1, "seed of the replays")
 )
 
 const (
-	vmCount  = 6
-	attempts = 2
-	// rate is the number of requests per second of all VMs and routes.
-	rate = 48.0
+	vmCount = 6
 )
 
 type protocol struct{}
@@ -42,18 +40,22 @@
 func (protocol) AttemptHeaders(time.Duration, *leverdirectory.Upstream) http.Header { return nil }
 
 func (protocol) ParseHead(_ int, h http.Header) leverengine.ResponseMeta {
-	return leverengine.ResponseMeta{Request: leverid.RequestID(h.Get("X-Request-Id")), Signature: h.Get("Signature")}
+	m := leverengine.ResponseMeta{Request: leverid.RequestID(h.Get("X-Request-Id")), Signature: h.Get("Signature")}
+	if v := h.Get("Load"); v != "" {
+		_, _ = fmt.Sscan(v, &m.Load.Running, &m.Load.Waiting, &m.Load.Slots, &m.Load.Pace)
+	}
+	return m
 }
 
 func routes() []leverdirectory.Route {
 	quick := leverdirectory.Route{
 		Name: "quick", Host: "h", Prefix: "/quick", Repeatable: true, Limit: 20, RecordBytes: 16, LeastCoverage: 0.85,
-		MaxAttempts: attempts, Timeout: time.Second, Objective: 40 * time.Millisecond,
+		MaxAttempts: *attempts, Timeout: time.Second, Objective: 40 * time.Millisecond,
 	}
 	wide := quick
 	wide.Name, wide.Prefix, wide.LeastCoverage, wide.Objective = "wide", "/wide", 0.95, 120*time.Millisecond
 	single := leverdirectory.Route{
-		Name: "single", Host: "h", Prefix: "/single", Repeatable: true, MaxAttempts: attempts, Timeout: 2 * time.Second, Objective: 500 * time.Millisecond,
+		Name: "single", Host: "h", Prefix: "/single", Repeatable: true, MaxAttempts: *attempts, Timeout: 2 * time.Second, Objective: 500 * time.Millisecond,
 	}
 	for i := range shardCount {
 		quick.Shards = append(quick.Shards, service(i))
@@ -142,23 +144,13 @@
 type policy struct {
 	name  string
 	apply func(e *leverengine.Engine, s *sender)
-}
-
-var policies = []policy{
-	{"today", func(e *leverengine.Engine, _ *sender) { e.Hedges = fixedHedges{} }},
-	{"cost", func(*leverengine.Engine, *sender) {}},
-}
-
-// fixedHedges hedges all parts at fixed times.
-type fixedHedges struct{}
-
-func (fixedHedges) FirstHedge(leverhealth.Class) (time.Duration, bool) { return 0, false }
-func (fixedHedges) WorthHedging(_, _ *leverdirectory.Upstream, _ leverhealth.Class, _ levercost.Hedge, _ time.Time) bool {
-	return true
+	// states is set if the upstreams state their load.
+	states bool
 }
 
 func (r *replay) run(p policy, seed uint64, length time.Duration, faulty bool) string {
 	w := newWorld(seed, length, faulty)
+	w.states = p.states
 	list := routes()
 	r.results = make(map[string]*result)
 	for i := range list {
@@ -178,7 +170,7 @@
 		}
 		r.group.Add(1)
 		go r.runRequest(engines[random.IntN(vmCount)], &list[k], leverid.RequestID(fmt.Sprint(n)))
-		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		time.Sleep(time.Duration(random.ExpFloat64() / *replayRate * float64(time.Second)))
 	}
 	r.group.Wait()
 	time.Sleep(10 * time.Second)
--- a/internal/leverengine/attempt.go
+++ b/internal/leverengine/attempt.go
@@ -65,7 +65,7 @@
 	f := a.fanout
 	e := f.engine
 	u := a.preferred.upstream
-	e.Health.Begin(u, a.preferred.at)
+	e.Health.BeginCall(u, f.class, a.preferred.at)
 	if f.call == nil {
 		f.call = leverpool.NewCall(f.req.Method, f.req.URI, f.req.Host, f.req.Header, f.req.Body)
 	}
@@ -95,6 +95,7 @@
 		return errors.Errorf("response comes from shard %q", s)
 	}
 	a.recordBlock()
+	a.recordLoad()
 	return nil
 }
 
--- a/internal/leverengine/hedge.go
+++ b/internal/leverengine/hedge.go
@@ -1,6 +1,7 @@
 package leverengine
 
 import (
+	"slices"
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverbudget"
@@ -101,8 +102,9 @@
 	return own >= minWeighedParts && float64(open) > maxOpenFraction*float64(own)
 }
 
-// hedge starts a second attempt for parts that have exactly one attempt in flight,
-// which has been sent, if another upstream is usable and the budget allows it.
+// hedge starts another attempt for parts that have one in flight, or two if the route
+// allows three, if that is worthwhile, another upstream is usable and the budget allows
+// it.
 func (f *fanout) hedge(now time.Time) {
 	wait := f.catchUp(now)
 	f.scheduleNextHedge(now)
@@ -111,7 +113,7 @@
 	}
 	for i := range f.parts {
 		p := &f.parts[i]
-		if p.settled() || p.inFlight != 1 || p.possibleRuns >= f.maxRuns() || len(p.attempts) >= f.maxSends() || p.waiting() {
+		if p.settled() || !f.mayHedge(p) || p.possibleRuns >= f.maxRuns() || len(p.attempts) >= f.maxSends() || p.waiting() {
 			continue
 		}
 		u, expected := f.pickUpstream(p, now)
@@ -140,12 +142,19 @@
 	f.hedgeAt = f.hedgeAt.Add(f.engine.Health.SlowAfter(f.class))
 }
 
-// worthHedging reports whether a part is hedged now by a second attempt at an upstream.
+// mayHedge reports whether a part has as many attempts in flight that another one may be
+// made. A third one has to be weighed.
+func (f *fanout) mayHedge(p *part) bool {
+	return p.inFlight == 1 || p.inFlight == 2 && f.weighHedges
+}
+
+// worthHedging reports whether a part is hedged now by another attempt at an upstream.
+// What counts is the age of its last attempt.
 func (f *fanout) worthHedging(p *part, second *leverdirectory.Upstream, now time.Time) bool {
 	if !f.weighHedges {
 		return true
 	}
-	for _, a := range p.attempts {
+	for _, a := range slices.Backward(p.attempts) {
 		if pl := a.placed.Load(); !a.handled && pl != nil {
 			return f.engine.hedges().WorthHedging(pl.upstream, second, f.class, levercost.Hedge{
 				Age: now.Sub(pl.at), Limit: f.hedgeAllAfter, Left: f.due().Sub(now), BudgetUsed: f.engine.Budget.HedgesUsed(p.service, now),
--- a/internal/leverengine/place.go
+++ b/internal/leverengine/place.go
@@ -69,7 +69,7 @@
 		return
 	}
 	now := e.Timer.Now()
-	e.Health.Begin(u, now)
+	e.Health.BeginCall(u, a.fanout.class, now)
 	a.placed.Store(&placement{u, now})
 }
 
--- a/internal/leverengine/request.go
+++ b/internal/leverengine/request.go
@@ -224,6 +224,10 @@
 	// that is no time.
 	RetryAfter string
 	Pause      time.Duration
+	// Load is what the upstream states about its load. OddLoad is a statement that is
+	// not valid, as received.
+	Load    leverhealth.Load
+	OddLoad string
 	// Encoded reports that the body has a content encoding, so that it is not
 	// what the upstream sent.
 	Encoded bool
--- a/internal/leverhealth/tracker.go
+++ b/internal/leverhealth/tracker.go
@@ -111,11 +111,14 @@
 // state holds the estimates for one incarnation of an upstream.
 type state struct {
 	seen         time.Time
-	inFlight     []time.Time
+	inFlight     []flight
 	lastResponse time.Time
 	// slowness is the ratio of the upstream's time to the class's mean, of all
 	// classes.
 	slowness slowness
+	stated   statedLoad
+	// oddLoad is set if the upstream has stated an invalid load.
+	oddLoad bool
 	// failureRate is the fraction of calls that failed or were shed.
 	failureRate decayingMean
 	avoidance   time.Duration
@@ -169,12 +172,12 @@
 	return s
 }
 
-// Begin records the start of a call.
+// Begin records the start of a call of an unknown class.
 func (t *Tracker) Begin(u *leverdirectory.Upstream, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(u, now)
-	s.inFlight = append(s.inFlight, now)
+	s.inFlight = append(s.inFlight, flight{at: now})
 }
 
 // Withdraw records that the call that began at start is not sent to the upstream.
@@ -188,8 +191,8 @@
 
 // endCall removes one call from those in flight.
 func (s *state) endCall(start time.Time) {
-	for i, at := range s.inFlight {
-		if at.Equal(start) {
+	for i, f := range s.inFlight {
+		if f.at.Equal(start) {
 			s.inFlight = append(s.inFlight[:i:i], s.inFlight[i+1:]...)
 			return
 		}
@@ -329,8 +332,7 @@
 	defer t.mu.Unlock()
 	s := t.state(u, now)
 	stats := t.class(c)
-	v := stats.mean * s.slowness.get(now)
-	v *= s.load(u)
+	v := stats.mean * s.present(now) * t.backlog(s, u, stats.mean, now)
 	if now.Before(s.coldUntil) {
 		v *= coldFactor
 	}
@@ -379,8 +381,8 @@
 // unresponsive reports whether a call has been in flight for longer than
 // threshold and the upstream has not responded to any call since it began.
 func (s *state) unresponsive(threshold time.Duration, now time.Time) bool {
-	for _, at := range s.inFlight {
-		if now.Sub(at) > threshold && !s.lastResponse.After(at) {
+	for _, f := range s.inFlight {
+		if now.Sub(f.at) > threshold && !s.lastResponse.After(f.at) {
 			return true
 		}
 	}
