--- a/internal/leverengine/hedge.go
+++ b/internal/leverengine/hedge.go
@@ -8,6 +8,7 @@
 	"arbutuslever.dev/lever/internal/levercost"
 	"arbutuslever.dev/lever/internal/leverdirectory"
 	"arbutuslever.dev/lever/internal/leverhealth"
+	"arbutuslever.dev/lever/internal/levermetric"
 )
 
 const (
@@ -108,6 +109,9 @@
 func (f *fanout) hedge(now time.Time) {
 	wait := f.catchUp(now)
 	f.scheduleNextHedge(now)
+	if wait {
+		f.engine.Metrics.Add(levermetric.Name("hedges-postponed"), 1)
+	}
 	if wait || !f.route.Repeatable || f.trial || f.retrying {
 		return
 	}
@@ -129,6 +133,9 @@
 			continue
 		}
 		f.hedged++
+		if f.weighHedges && now.Sub(f.startTime) < f.hedgeAllAfter {
+			f.engine.Metrics.Add(levermetric.Name("hedges-early"), 1)
+		}
 		f.recordExtra("hedge", f.send(i, u, true, now), "slow at "+string(p.attempts[len(p.attempts)-2].upstream().ID))
 	}
 }
