Merge main into part-place

Both sides add fields to the engine, to the head of a response and to the headers, and tests to internal/leverbudget: all are kept. choose.go keeps the reservation of places at cold upstreams around pickUpstream.

--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -9,7 +9,9 @@
 	"sync/atomic"
 	"time"
 
+	"arbutuslever.dev/lever/internal/leverallow"
 	"arbutuslever.dev/lever/internal/leverbudget"
+	"arbutuslever.dev/lever/internal/leverfeed"
 	"arbutuslever.dev/lever/internal/levergate"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leverlog"
@@ -114,15 +116,21 @@
 	e.metrics.Gauge("log-lines-dropped", func() float64 { return float64(sink.Dropped()) })
 	// The settings hold no secret. The store's address as the peers' shared key
 	// only keeps VMs of different platforms apart.
+	store := platform.NewStore(s.Platform.Address, storeClient(), log.For("store"))
+	var evacuations leverfeed.Source[leverid.Domain]
+	if s.Bounds.EvacuateMS > 0 {
+		evacuations = store.Evacuations()
+	}
 	e.node = levernode.New(levernode.Options{
 		Self: levermsg.VM{
 			ID: leverid.VMID(s.Node), Domain: leverid.Domain(s.Zone), Peer: s.Listen.Control, Caller: s.Listen.Front,
 			State: levermsg.Live, Power: s.Power(),
 		},
-		Store:    platform.NewStore(s.Platform.Address, storeClient(), log.For("store")),
+		Store: store, Evacuations: evacuations, Cold: s.ColdTerms(), Regions: s.Regions(),
 		Protocol: platform.Protocol{}, Log: log, PeerKeys: leverpeer.NewKeys(s.Platform.Address),
-		Seeds: seeds(s), Terms: budgetTerms(s), Metrics: e.metrics, MaxInFlight: s.Limits.MemoryMB * inFlightPerMB,
+		Seeds: seeds(s), Terms: budgetTerms(s), AllowanceTerms: allowanceTerms(s), Metrics: e.metrics, MaxInFlight: s.Limits.MemoryMB * inFlightPerMB,
 		MaxBodyBytes: int64(bodyFraction * float64(s.Limits.MemoryMB<<20)), DrainTime: time.Duration(s.Bounds.DrainMS) * time.Millisecond,
+		RevokeWithin: s.RevokeWithin(),
 	})
 	e.gate = &levergate.Gate{Node: e.node, Log: e.log, Ready: &platform.Ready{Ready: e.node.Ready}}
 	e.gate.Callers = &platform.CallerHandler{Engine: e.node.Engine(), CallerRTT: e.gate.CallerRTT, BodyLimit: e.bodyLimit, Closing: e.node.Stopping}
@@ -136,6 +144,13 @@
 	}
 }
 
+func allowanceTerms(s *platform.Settings) leverallow.Terms {
+	return leverallow.Terms{
+		Window: time.Duration(s.Bounds.QuotaWindowS * float64(time.Second)),
+		Excess: s.Bounds.QuotaExcess, Slack: s.Bounds.QuotaSlack,
+	}
+}
+
 func seeds(s *platform.Settings) []levermsg.VM {
 	out := make([]levermsg.VM, len(s.Seeds))
 	for i, address := range s.Seeds {
@@ -179,13 +194,13 @@
 		"domain", settings.Zone, "power", settings.Power())
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
-	sig.await(&reloader{Signalled: e.reloadSignalled, Ticked: e.reload, Ticks: ticker.C})
-	e.stop()
+	e.stop(sig.await(&reloader{Signalled: e.reloadSignalled, Ticked: e.reload, Ticks: ticker.C}))
 	return nil
 }
 
-func (e *entry) stop() {
-	e.gate.Stop(time.Duration(e.settings.Load().Bounds.GraceS * float64(time.Second)))
+// stop ends the process. The signal has been pending for up to the given time.
+func (e *entry) stop(pending time.Duration) {
+	e.gate.StopPending(time.Duration(e.settings.Load().Bounds.GraceS*float64(time.Second)), pending)
 	e.sink.Close()
 }
 
--- a/internal/leverdirectory/organisation.go
+++ b/internal/leverdirectory/organisation.go
@@ -32,6 +32,8 @@
 	// Rate is the number of requests per second, and Burst the number in addition to
 	// that, that all VMs together admit. There is no limit if Rate is 0.
 	Rate, Burst float64
+	// Homes are the regions in which its requests may be processed.
+	Homes Homes
 }
 
 // Organisation returns the organisation that holds a key, or nil.
@@ -40,6 +42,9 @@
 // OrganisationNamed returns the organisation with a name, or nil.
 func (c *Config) OrganisationNamed(name leverid.OrganisationID) *Organisation { return c.byName[name] }
 
+// KeyCount returns the number of keys.
+func (c *Config) KeyCount() int { return len(c.byKey) }
+
 // indexOrganisations groups the organisations by key and by name. If two hold the same
 // key, it is the first one's.
 func (c *Config) indexOrganisations() {
--- a/internal/leverengine/attempt.go
+++ b/internal/leverengine/attempt.go
@@ -31,6 +31,7 @@
 	handled bool
 	// departure is set while the upstream is about to end.
 	departure departure
+	cold      coldPlace
 
 	// The following are set when the call has ended.
 
@@ -71,7 +72,7 @@
 	}
 	t := leverpool.Target{
 		Upstream: u, Placement: a, Once: !f.route.Repeatable, MaxConnections: a.MaxConnections(),
-		Request: f.req.ID, Rank: f.route.Rank, Floors: f.route.Floors, Deadline: f.deadline,
+		Request: f.req.ID, Rank: f.route.Rank, Floors: f.route.Floors, Deadline: f.deadline, Flow: f.flow(),
 	}
 	a.exchange = e.sender().Send(t, f.call, a.header, a.checkHead, a.done)
 }
@@ -96,6 +97,7 @@
 	}
 	a.recordBlock()
 	a.recordLoad()
+	a.recordCold()
 	return nil
 }
 
@@ -113,6 +115,7 @@
 	} else {
 		f.waiting.Add(-1)
 	}
+	a.endCold(now)
 	if a.extra && (a.kind == leverhealth.Withdrawn || a.kind == leverhealth.Refused) {
 		// An attempt that was never sent is no extra one.
 		f.engine.Budget.Return(a.candidates.service, a.started, now)
--- a/internal/leverengine/block.go
+++ b/internal/leverengine/block.go
@@ -89,17 +89,33 @@
 	e.Log.Info(message, append([]any{"upstream", u.ID, "service", u.Service, "address", u.Address}, attributes...)...)
 }
 
-// wait returns how long no upstream of a service takes requests from this VM: 0 if one
+// anyBlocked reports whether wait may return a time other than 0 for any service.
+func (f *fanout) anyBlocked() bool {
+	e := f.engine
+	return e.Health.AnyBlocked() || e.anyCold() || e.Directory.View().AnyWithdrawn() || f.req.Homes != nil
+}
+
+// wait returns how long no upstream of a service takes the request from this VM: 0 if one
 // does or none is known.
-func (e *Engine) wait(s leverid.ServiceID, now time.Time) time.Duration {
-	if !e.Health.AnyBlocked() {
+func (f *fanout) wait(s leverid.ServiceID, now time.Time) time.Duration {
+	e := f.engine
+	view := e.Directory.View()
+	if view.Withdrawn(s) || f.isOutside(s) {
+		return withdrawnWait
+	}
+	if !e.Health.AnyBlocked() && !e.anyCold() {
 		return 0
 	}
 	shortest := time.Duration(0)
-	for _, u := range e.Directory.View().Upstreams(s) {
+	for _, u := range view.Upstreams(s) {
+		if !f.isHome(u) {
+			continue
+		}
 		d := e.Health.Wait(u, now)
 		if d == 0 {
-			return 0
+			if d = e.coldWait(u, now); d <= coldPatience {
+				return 0
+			}
 		}
 		if shortest == 0 || d < shortest {
 			shortest = d
@@ -108,7 +124,7 @@
 	return shortest
 }
 
-func (f *fanout) isBlocked(s leverid.ServiceID, now time.Time) bool { return f.engine.wait(s, now) > 0 }
+func (f *fanout) isBlocked(s leverid.ServiceID, now time.Time) bool { return f.wait(s, now) > 0 }
 
 // watchBlocks withdraws the attempts that wait while no upstream takes requests. If
 // others wait, it returns a channel that is closed when that may have changed.
@@ -117,7 +133,7 @@
 		return nil
 	}
 	next := f.engine.blocked.next()
-	if !f.engine.Health.AnyBlocked() {
+	if !f.anyBlocked() {
 		return next
 	}
 	for _, a := range f.attempts {
@@ -131,13 +147,13 @@
 // partWaits returns how long the parts whose upstreams take no requests have to wait,
 // in ascending order.
 func (f *fanout) partWaits(now time.Time) []time.Duration {
-	if !f.engine.Health.AnyBlocked() {
+	if !f.anyBlocked() {
 		return nil
 	}
 	var waits []time.Duration
 	for i := range f.parts {
 		if p := &f.parts[i]; !p.done && !p.branched {
-			if d := f.engine.wait(p.service, now); d > 0 {
+			if d := f.wait(p.service, now); d > 0 {
 				waits = append(waits, d)
 			}
 		}
@@ -165,6 +181,9 @@
 	f.reason = blockedReason + "too many parts"
 	for i := range f.parts {
 		p := &f.parts[i]
+		if why := f.whyBlocked(p.service); why != blockedReason {
+			f.reason = why + "too many parts"
+		}
 		p.branched, p.awaited, p.exhausted = false, false, true
 	}
 }
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -62,6 +62,15 @@
 	Estimator Estimator
 	// Hedges, if set, decides on hedges instead of Health.
 	Hedges HedgePolicy
+	// RefuseKeys, if set, returns why requests that need a key are refused now, or "".
+	RefuseKeys func() string
+	// Regions holds the regions of the failure domains.
+	Regions leverdirectory.Regions
+	// Cold, if set, bounds the requests to upstreams that are cold.
+	Cold ColdLimit
+	// Returns, if set, limits the requests to upstreams in failure domains whose
+	// evacuation has just ended.
+	Returns Returns
 	// Allowance, if set, limits the requests of organisations.
 	Allowance Allowance
 
@@ -137,6 +146,7 @@
 	if out != nil {
 		return e.recordUnrouted(req, view, out)
 	}
+	req.Homes = homesOf(req, route, o)
 	route = req.Overrides.apply(route)
 	if out := e.refuseLate(req, route); out != nil {
 		return out
@@ -157,6 +167,7 @@
 	if out != nil {
 		return e.recordUnrouted(req, view, out)
 	}
+	req.Homes = homesOf(req, route, nil)
 	route = req.Overrides.apply(route)
 	if out := e.refuseLate(req, route); out != nil {
 		return out
@@ -191,6 +202,7 @@
 	out := f.admit()
 	if out == nil {
 		out = f.runGuarded(ctx)
+		f.observeSheds(out)
 	}
 	if out.Verdict == NotRun && f.mayHaveRun {
 		// Another VM may have run the request before this one refused it.
@@ -217,7 +229,7 @@
 // does not permit.
 func (e *Engine) recordOverAllowance(req *Request, view *leverdirectory.View, route *leverdirectory.Route, out *Outcome) *Outcome {
 	e.Metrics.Add(levermetric.Name("requests", "verdict", out.Verdict.String(), "rank", route.Rank.String()), 1)
-	e.Log.Info("a request exceeds an allowance", "id", req.ID, "verdict", out.Verdict, "route", route.Name, "organisation", req.Organisation,
+	e.Log.Info("a request exceeds an allowance", "id", req.ID, "verdict", out.Verdict, "route", route.Name, "rank", route.Rank, "organisation", req.Organisation,
 		"config", view.Config.Version, "retry-after", out.RetryAfter, "reason", out.Reason)
 	return out
 }
@@ -256,5 +268,12 @@
 	for _, k := range e.Health.Retain(view.Contains, e.Timer.Now()) {
 		e.Log.Info("an upstream that was leaving is gone", "upstream", k.ID, "address", k.Address, "born", k.Born)
 	}
+	if e.Cold != nil {
+		e.Cold.Update(view, e.Timer.Now())
+	}
+	if e.Returns != nil {
+		e.Returns.Update(view.EvacuatedDomains(), e.Timer.Now())
+		e.blocked.send()
+	}
 	e.departures.send()
 }
--- a/internal/leverengine/move.go
+++ b/internal/leverengine/move.go
@@ -93,6 +93,10 @@
 			elsewhere = f.replace(a, now)
 			a.departure.replaceAt = now.Add(replaceInterval)
 		}
+		if !elsewhere && a.isWithdrawn() {
+			// Nothing says that the upstream exits.
+			continue
+		}
 		if !now.Before(a.departure.abandonAt) && (elsewhere || p.possibleRuns < f.maxRuns()) {
 			f.recordAbandoned(a, now)
 			a.departure.abandoned, a.departure.last = true, f.allDepart(p, now)
@@ -110,7 +114,7 @@
 // allDepart reports whether no upstream of a part's service stays.
 func (f *fanout) allDepart(p *part, now time.Time) bool {
 	for _, u := range f.engine.Directory.View().Upstreams(p.service) {
-		if !f.engine.departs(u, now) {
+		if f.isHome(u) && !f.engine.departs(u, now) {
 			return false
 		}
 	}
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -9,8 +9,10 @@
 	"sync/atomic"
 	"time"
 
+	"arbutuslever.dev/lever/internal/leverallow"
 	"arbutuslever.dev/lever/internal/leverbranch"
 	"arbutuslever.dev/lever/internal/leverbudget"
+	"arbutuslever.dev/lever/internal/levercold"
 	"arbutuslever.dev/lever/internal/levercrash"
 	"arbutuslever.dev/lever/internal/leverdelegate"
 	"arbutuslever.dev/lever/internal/leverdirectory"
@@ -27,6 +29,7 @@
 	"arbutuslever.dev/lever/internal/leverpeer"
 	"arbutuslever.dev/lever/internal/leverpool"
 	"arbutuslever.dev/lever/internal/leverrelay"
+	"arbutuslever.dev/lever/internal/leverrevocation"
 	"arbutuslever.dev/lever/internal/levertimer"
 )
 
@@ -59,6 +62,8 @@
 	Protocol leverengine.Protocol
 	// Terms are the limits on extra attempts.
 	Terms leverbudget.Terms
+	// AllowanceTerms are what is common to the allowances of all organisations.
+	AllowanceTerms leverallow.Terms
 	// Seeds are VMs of which only the address is known.
 	Seeds []levermsg.VM
 	// PeerKeys authenticate this VM to the others, which must have the same
@@ -75,8 +80,15 @@
 	// OnConfig, if set, is called when a configuration built by Compose has come
 	// into force.
 	OnConfig func()
-	Log      leverlog.Logger
-	Metrics  *levermetric.Set
+	// Cold bounds the requests to cold upstreams of services whose configuration asks for
+	// it.
+	Cold levercold.Terms
+	// Regions holds the regions of the failure domains.
+	Regions leverdirectory.Regions
+	// Evacuations, if set, is the collection of the evacuated failure domains.
+	Evacuations leverfeed.Source[leverid.Domain]
+	Log         leverlog.Logger
+	Metrics     *levermetric.Set
 	// MaxInFlight is the maximum number of concurrent requests, 0 for no limit.
 	MaxInFlight int
 	// MaxBodyBytes is the maximum memory, in bytes, of large responses that are
@@ -90,6 +102,9 @@
 	// RouteViaHomes, if set, reports whether the calls to each upstream go
 	// through one VM, its home.
 	RouteViaHomes func() bool
+	// RevokeWithin, if set, makes the VM refuse requests that need a key once it may have
+	// had no path to the store for that time.
+	RevokeWithin time.Duration
 	// Dial replaces the TCP dialer in tests.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -118,8 +133,15 @@
 	configs   *leverfeed.Follower[*leverdirectory.Config]
 	upstreams *leverfeed.Follower[leverdirectory.Upstream]
 	vms       *leverfeed.Follower[levermsg.VM]
-	stopping  atomic.Bool
-	pauses    levertimer.PauseDetector
+	// coldShares are this VM's parts of the requests to cold upstreams.
+	coldShares *levercold.Shares
+	// evacuations is nil if the VM takes no notice of evacuations.
+	evacuations *leverfeed.Follower[leverid.Domain]
+	// evacuationsConfirmed is when the copy of the evacuations was last compared with
+	// the store's revision, in Unix nanoseconds.
+	evacuationsConfirmed atomic.Int64
+	stopping             atomic.Bool
+	pauses               levertimer.PauseDetector
 	// lastContact is when another VM last sent a frame, or when the node was
 	// started, in Unix nanoseconds.
 	lastContact atomic.Int64
@@ -135,6 +157,13 @@
 	// the evidence of all VMs about some fingerprints.
 	crashes  *crashQueue
 	gatherer levercrash.Gatherer
+	keys     *leverrevocation.Keys
+	// keysRefused is whether requests that need a key are refused.
+	keysRefused atomic.Bool
+	// allowance limits the requests of organisations. wasListed is whether the list had
+	// this VM's entry when the process started.
+	allowance *leverallow.Allowance
+	wasListed atomic.Bool
 }
 
 // New creates a node. Start makes it serve.
@@ -145,6 +174,7 @@
 		members: levermember.NewView(o.Self), mirror: leverrelay.NewMirror(),
 		budget:   &leverbudget.Budget{Terms: o.Terms, Lease: shareLease},
 		register: make(chan struct{}, 1),
+		keys:     &leverrevocation.Keys{Bound: o.RevokeWithin, Detection: pathLossDetection},
 	}
 	n.crashes = newCrashQueue(n)
 	n.pauses.Timer = n.timer
@@ -153,14 +183,18 @@
 		Domain: o.Self.Domain, Timer: n.timer, Log: o.Log.For("engine"), Directory: directory,
 		Health: &leverhealth.Tracker{}, Budget: n.budget, Pool: &leverpool.Pool{Dial: o.Dial, MaxBodyBytes: o.MaxBodyBytes}, Protocol: o.Protocol,
 		ConnectionShares: n.shares, Current: n.mirror.Current, Crashes: &levercrash.Guard{}, OnCrashLevel: n.queueCrashReport, CrashReports: n.crashes, Metrics: o.Metrics,
-		DrainTime: o.DrainTime, MaxInFlight: o.MaxInFlight, MaxConnsPerUpstream: o.MaxConnsPerUpstream, Events: n.events,
+		RefuseKeys: n.refuseKeys, DrainTime: o.DrainTime, Regions: o.Regions, MaxInFlight: o.MaxInFlight, MaxConnsPerUpstream: o.MaxConnsPerUpstream, Events: n.events,
 	}
+	n.coldShares = &levercold.Shares{Self: o.Self.ID}
+	n.engine.Cold = &levercold.Limit{Terms: o.Cold, Shares: n.coldShares}
 	directory.OnChange = n.directoryChanged
 	n.initPeers()
 	n.initFeeds()
 	n.engine.Delegate = n.delegate
 	n.engine.Brancher = n.branches
 	n.initHomes()
+	n.initEvacuations()
+	n.initAllowance()
 	n.mirror.OnConfigs = n.applyConfigs
 	n.mirror.OnUpstreams = directory.SetUpstreams
 	n.mirror.OnVMs = n.applyVMs
@@ -180,6 +214,7 @@
 	n.relay = &leverrelay.Relay{
 		Self: o.Self.ID, Members: n.members, Peers: n.controlPeers, Mirror: n.mirror, Timer: n.timer,
 		Log: o.Log.For("relay"), Seeds: o.Seeds, Watch: n.watchStore, StoreCurrent: n.storeCurrent,
+		OnPath: n.observePath,
 	}
 	n.delegate = &leverdelegate.Delegate{
 		Self: o.Self, Members: n.members, Peers: n.workPeers, Engine: n.engine, Timer: n.timer,
@@ -271,7 +306,10 @@
 func (n *Node) WatchesStore() bool { return n.relay.IsWatching() }
 
 // Ready reports whether the VM accepts requests.
-func (n *Node) Ready() bool { return !n.stopping.Load() && n.engine.Directory.View().Usable() }
+func (n *Node) Ready() bool {
+	view := n.engine.Directory.View()
+	return !n.stopping.Load() && view.Usable() && !n.awaitsPath(view.Config)
+}
 
 // Stopping reports whether the VM is shutting down.
 func (n *Node) Stopping() bool { return n.stopping.Load() }
