internal/leverengine, levercost, leverhealth: hedges at fixed times again

Hedges by age and expected gain are a loss in the fleet.

The policy, its counters and the third attempt are gone, with the code that only they used: the survival table, the shapes by class, the expectations. The estimate stays. Begin takes the class of the call, as all callers know it.

Tests: TestWorthwhile, TestHedgeTimes, TestThirdAttempt and TestHedgesUsed tested what is gone. TestShape and TestShapeIsMonotonic check the time left instead of the survival, which is gone. The bound of TestReplay, at most 85% of the missing parts, was that of the policy and taken from its measurement: the estimate, with and without load headers, must leave out fewer parts than the tracker before.

--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -118,12 +118,8 @@
 	// latePartialAt is when it is returned if the minimum coverage is reached
 	// only after partialWindow.
 	partialAt, latePartialAt time.Time
-	// hedgeAt is when hedges of parts with one attempt in flight are considered next.
+	// hedgeAt is when parts with one attempt in flight are hedged next.
 	hedgeAt time.Time
-	// weighHedges is set if each hedge is decided on by its own cost and gain.
-	weighHedges bool
-	// hedgeAllAfter is the age from which every attempt is hedged.
-	hedgeAllAfter time.Duration
 }
 
 // crashState is what is known about whether the request's content crashes
@@ -190,7 +186,7 @@
 	f.deadline = req.deadline(route)
 	f.partialAt = req.Received.Add(route.Objective - req.CallerRTT - e.answerLag.Estimate() - callerMargin)
 	f.latePartialAt = req.Received.Add(lateFactor * route.Objective)
-	f.scheduleHedges()
+	f.hedgeAt = f.startTime.Add(min(e.Health.SlowAfter(f.class), time.Duration(maxHedgeDelayFraction*float64(route.Objective))))
 	return f
 }
 
