--- a/internal/leverengine/attempt.go
+++ b/internal/leverengine/attempt.go
@@ -66,7 +66,7 @@
 	f := a.fanout
 	e := f.engine
 	u := a.preferred.upstream
-	e.Health.Begin(u, a.preferred.at)
+	e.Health.Begin(u, f.class, a.preferred.at)
 	if f.call == nil {
 		f.call = leverpool.NewCall(f.req.Method, f.req.URI, f.req.Host, f.req.Header, f.req.Body)
 	}
@@ -96,6 +96,7 @@
 		return errors.Errorf("response comes from shard %q", s)
 	}
 	a.recordBlock()
+	a.recordLoad()
 	a.recordCold()
 	return nil
 }
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -58,6 +58,8 @@
 	Delegate Delegate
 	// Brancher, if set, may run parts of fan-outs on other VMs.
 	Brancher Brancher
+	// Estimator, if set, estimates the times of calls instead of Health.
+	Estimator Estimator
 	// RefuseKeys, if set, returns why requests that need a key are refused now, or "".
 	RefuseKeys func() string
 	// Regions holds the regions of the failure domains.
--- a/internal/leverengine/request.go
+++ b/internal/leverengine/request.go
@@ -227,6 +227,10 @@
 	// that is no time.
 	RetryAfter string
 	Pause      time.Duration
+	// Load is what the upstream states about its load. OddLoad is a statement that is
+	// not valid, as received.
+	Load    leverhealth.Load
+	OddLoad string
 	// ColdFor is for how long the upstream says that it is cold, if ColdKnown is set.
 	ColdFor   time.Duration
 	ColdKnown bool
--- a/internal/leverhealth/tracker.go
+++ b/internal/leverhealth/tracker.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"arbutuslever.dev/lever/internal/levercost"
 	"arbutuslever.dev/lever/internal/leverdirectory"
 )
 
@@ -51,8 +52,7 @@
 	// classWeight is the minimum weight of a new observation in the moving
 	// averages of a class, which cover all upstreams.
 	classWeight = 0.01
-	// decayHalfLife is the half-life of an estimate without new observations.
-	// Upstreams typically stay slow for a few seconds.
+	// decayHalfLife is the half-life of a failure rate without new observations.
 	decayHalfLife = 2 * time.Second
 	// minAvoidance and maxAvoidance limit how long an upstream is avoided after
 	// a failed connection. The time doubles with each failure.
@@ -91,6 +91,9 @@
 	states  map[leverdirectory.Key]*state
 	classes map[Class]*classStats
 	blocks  blocks
+	// shape is the distribution of the times of all classes, relative to what was
+	// expected of each call.
+	shape levercost.Shape
 }
 
 // classStats holds the response time statistics of a class over all upstreams,
@@ -106,11 +109,14 @@
 // state holds the estimates for one incarnation of an upstream.
 type state struct {
 	seen         time.Time
-	inFlight     []time.Time
+	inFlight     []flight
 	lastResponse time.Time
-	// slowness is the ratio of the upstream's time to the class's mean, by
-	// class.
-	slowness map[Class]*decayingMean
+	// slowness is the ratio of the upstream's time to the class's mean, of all
+	// classes.
+	slowness slowness
+	stated   statedLoad
+	// oddLoad is set if the upstream has stated an invalid load.
+	oddLoad bool
 	// failureRate is the fraction of calls that failed or were shed.
 	failureRate decayingMean
 	avoidance   time.Duration
@@ -119,19 +125,18 @@
 	coldUntil   time.Time
 }
 
-// decayingMean is an exponentially weighted moving average that decays to base
+// decayingMean is an exponentially weighted moving average that decays to 0
 // without new observations.
 type decayingMean struct {
-	value, base float64
-	at          time.Time
+	value float64
+	at    time.Time
 }
 
 func (m *decayingMean) get(now time.Time) float64 {
 	if m.at.IsZero() {
-		return m.base
+		return 0
 	}
-	decay := math.Exp2(-float64(now.Sub(m.at)) / float64(decayHalfLife))
-	return m.base + (m.value-m.base)*decay
+	return m.value * math.Exp2(-float64(now.Sub(m.at))/float64(decayHalfLife))
 }
 
 func (m *decayingMean) add(v float64, now time.Time) {
@@ -146,7 +151,7 @@
 	}
 	s := t.states[u.Key()]
 	if s == nil {
-		s = &state{slowness: make(map[Class]*decayingMean), coldUntil: now.Add(u.ColdFor), status: Healthy}
+		s = &state{coldUntil: now.Add(u.ColdFor), status: Healthy}
 		t.states[u.Key()] = s
 	}
 	s.seen = now
@@ -166,11 +171,11 @@
 }
 
 // Begin records the start of a call.
-func (t *Tracker) Begin(u *leverdirectory.Upstream, now time.Time) {
+func (t *Tracker) Begin(u *leverdirectory.Upstream, c Class, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(u, now)
-	s.inFlight = append(s.inFlight, now)
+	s.inFlight = append(s.inFlight, flight{now, t.class(c).mean})
 }
 
 // Withdraw records that the call that began at start is not sent to the upstream.
@@ -184,8 +189,8 @@
 
 // endCall removes one call from those in flight.
 func (s *state) endCall(start time.Time) {
-	for i, at := range s.inFlight {
-		if at.Equal(start) {
+	for i, f := range s.inFlight {
+		if f.at.Equal(start) {
 			s.inFlight = append(s.inFlight[:i:i], s.inFlight[i+1:]...)
 			return
 		}
@@ -250,7 +255,7 @@
 		s.avoidance = 0
 		s.avoidUntil = time.Time{}
 		s.failureRate.add(0, now)
-		t.observe(s, c, now.Sub(start), now)
+		t.observe(s, c, now.Sub(start), false, now)
 	case Shed, Failed:
 		s.lastResponse = now
 		s.failureRate.add(1, now)
@@ -262,16 +267,18 @@
 	case WrongUpstream:
 		s.avoidUntil = now.Add(wrongUpstreamAvoidance)
 	case Canceled:
-		t.observe(s, c, now.Sub(start), now)
+		t.observe(s, c, now.Sub(start), true, now)
 	}
 }
 
 // observe updates the statistics of the class and the upstream with the time of
 // a call. An outlier counts in full for the upstream, but is clipped for the
 // class.
-func (t *Tracker) observe(s *state, c Class, took time.Duration, now time.Time) {
+func (t *Tracker) observe(s *state, c Class, took time.Duration, silent bool, now time.Time) {
 	stats := t.class(c)
 	v := took.Seconds()
+	ratio := v / max(stats.mean, minMean)
+	t.shape.Add(ratio / s.slowness.usual(now))
 	clipped := min(v, stats.mean+4*stats.deviation)
 	stats.n++
 	w := max(classWeight, 1/float64(stats.n+1))
@@ -282,12 +289,7 @@
 	} else {
 		stats.base += baseRiseWeight * min(clipped-stats.base, stats.base)
 	}
-	a := s.slowness[c]
-	if a == nil {
-		a = &decayingMean{base: 1}
-		s.slowness[c] = a
-	}
-	a.add(v/max(stats.mean, 1e-4), now)
+	s.slowness.add(ratio, silent, now)
 }
 
 // SlowAfter returns the time after which a call of the class is unusually
@@ -327,11 +329,7 @@
 	defer t.mu.Unlock()
 	s := t.state(u, now)
 	stats := t.class(c)
-	v := stats.mean
-	if a := s.slowness[c]; a != nil {
-		v *= a.get(now)
-	}
-	v *= 1 + float64(len(s.inFlight))/float64(max(u.Slots, 1))
+	v := stats.mean * s.present(now) * t.backlog(s, u, stats.mean, now)
 	if now.Before(s.coldUntil) {
 		v *= coldFactor
 	}
@@ -380,8 +378,8 @@
 // unresponsive reports whether a call has been in flight for longer than
 // threshold and the upstream has not responded to any call since it began.
 func (s *state) unresponsive(threshold time.Duration, now time.Time) bool {
-	for _, at := range s.inFlight {
-		if now.Sub(at) > threshold && !s.lastResponse.After(at) {
+	for _, f := range s.inFlight {
+		if now.Sub(f.at) > threshold && !s.lastResponse.After(f.at) {
 			return true
 		}
 	}
