internal/levercheck: check of a configuration before it is sent

An error in a configuration of the users' platform showed only in the logs of the VMs, after it was in force. Check takes the text, and optionally the version in force, and returns findings with severity, path and line: what VMs can't decode, what has no effect, limits that contradict each other, and changes. Findings hold no key: names that are keys or contain one are hidden.

A patch of the native API is still validated by a VM, as before: it is told apart by its members. The exit codes are 0, 1 for errors, 2 if the check could not be made.

--- a/cmd/arbutusctl/config.go
+++ b/cmd/arbutusctl/config.go
@@ -3,9 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"os"
 	"strings"
 
 	"arbutuslever.dev/lever/internal/leverconfig"
@@ -90,13 +88,7 @@
 // readPatch reads a JSON file with comments and returns standard JSON. The path
 // - means standard input.
 func readPatch(path string) (json.RawMessage, error) {
-	var raw []byte
-	var err error
-	if path == "-" {
-		raw, err = io.ReadAll(os.Stdin)
-	} else {
-		raw, err = os.ReadFile(path)
-	}
+	raw, err := readInput(path)
 	if err != nil {
 		return nil, err
 	}
@@ -110,30 +102,6 @@
 	return standard, nil
 }
 
-type configCheck struct {
-	cli
-	Args struct {
-		File string `positional-arg-name:"FILE" description:"JSON merge patch, comments allowed; - for standard input"`
-	} `positional-args:"true" required:"true"`
-}
-
-// Execute validates the patch against the current version. With --json it prints
-// the resulting configuration.
-func (c *configCheck) Execute([]string) error {
-	merge, err := readPatch(c.Args.File)
-	if err != nil {
-		return err
-	}
-	var cfg leverapi.Config
-	if err := c.do("POST", "config/check", leverapi.ConfigPatch{ID: "check", Merge: merge}, &cfg); err != nil {
-		return err
-	}
-	if !c.printJSON(cfg) {
-		c.printf("valid against version %d\n", cfg.Version)
-	}
-	return nil
-}
-
 type configStatus struct{ cli }
 
 // Execute prints the VMs on which the newest version is in force. It fails if
--- a/cmd/arbutusctl/main.go
+++ b/cmd/arbutusctl/main.go
@@ -27,7 +27,8 @@
 Exit codes: 0 success; 1 usage error or other error; 2 patch or document
 rejected; 3 patch in conflict with a later version; 4 outcome of a patch
 unknown, resend it with the same patch id; 5 VM or store unreachable; 6 query
-refused; 7 rule violated.
+refused; 7 rule violated. config check of a configuration of the users' platform:
+0 no error found; 1 errors found; 2 the check could not be made.
 
 First steps:
   arbutusctl vm list
@@ -82,6 +83,9 @@
 	if errors.As(err, &e) {
 		return e.code
 	}
+	if a := p.Active; a != nil && a.Name == "config" && a.Active != nil && a.Active.Name == "check" {
+		return exitNotChecked
+	}
 	return exitUsage
 }
 
@@ -89,7 +93,7 @@
 	config := mustAddCommand(p, "config", "Read and change the configuration", &struct{}{})
 	mustAddCommand(config, "get", "Print the configuration in force", &configGet{cli: c})
 	mustAddCommand(config, "patch", "Change the configuration against a version", &configPatch{cli: c})
-	mustAddCommand(config, "check", "Validate a patch without applying it", &configCheck{cli: c})
+	mustAddCommand(config, "check", "Check a configuration, or a patch, without sending or applying it", &configCheck{cli: c})
 	mustAddCommand(config, "status", "Show on which VMs the newest version is in force", &configStatus{cli: c})
 	mustAddCommand(config, "history", "List the most recent accepted patches", &configHistory{cli: c})
 	mustAddCommand(config, "settings", "List all settings with unit, default and bounds", &configSettings{cli: c})
