internal/leverengine: a hedge or a retry that is due while a result is handled is made

Callers got answers without parts although the budget allowed a hedge. nextWake left out times that had passed, so that a hedge or a retry that became due while the loop handled a result waited for the next event, often until the answer was due. A VM with little processor time spends most of a fan-out handling results. Such a time is now due at once. TestHedgeDueWhileBusy failed before (the answer lacked the part).

The schedule of a request moves to a file of its own, unchanged otherwise.

--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -109,19 +109,6 @@
 	branchesLeft bool
 }
 
-// schedule holds the points in time at which the request changes its behavior.
-type schedule struct {
-	startTime, deadline time.Time
-	// endedEarly is set when the VM's work has ended before the deadline.
-	endedEarly bool
-	// partialAt is when an answer with the minimum coverage is returned.
-	// latePartialAt is when it is returned if the minimum coverage is reached
-	// only after partialWindow.
-	partialAt, latePartialAt time.Time
-	// hedgeAt is when parts with one attempt in flight are hedged next.
-	hedgeAt time.Time
-}
-
 // crashState is what is known about whether the request's content crashes
 // upstreams.
 type crashState struct {
@@ -261,35 +248,6 @@
 	}
 }
 
-// nextWake returns when the request must be reconsidered if no attempt ends
-// before.
-func (f *fanout) nextWake(now time.Time) time.Time {
-	at := f.deadline
-	consider := func(t time.Time) {
-		if t.After(now) && t.Before(at) {
-			at = t
-		}
-	}
-	consider(f.hedgeAt)
-	consider(f.nextMove(now))
-	if !f.overdueSince.IsZero() {
-		consider(f.overdueSince.Add(overdueSettle))
-		consider(f.overdueSince.Add(overdueGrace))
-	}
-	if f.sub != nil {
-		consider(f.sub.wake())
-	} else if f.gather {
-		consider(f.partialAt)
-		consider(f.latePartialAt)
-	}
-	for i := range f.parts {
-		if p := &f.parts[i]; !p.settled() && !p.retryAt.IsZero() {
-			consider(p.retryAt)
-		}
-	}
-	return at
-}
-
 // startAttempt starts an attempt for a part, or schedules it if there is no
 // upstream. Extra attempts are charged to the retry budget.
 func (f *fanout) startAttempt(i int, extra bool) {
