internal/leverengine, levercost, leverhealth: hedges by age and expected gain again

Cause: the policy was taken out because fewer hedges were made with it and more answers lacked parts.

--- a/internal/leverbudget/budget.go
+++ b/internal/leverbudget/budget.go
@@ -139,6 +139,19 @@
 	return true
 }
 
+// HedgesUsed returns the fraction of the extra attempts that hedges may use which is
+// used, at most 1.
+func (b *Budget) HedgesUsed(s leverid.ServiceID, now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w, _ := b.bucket(s, now)
+	limit := hedgeFraction * (b.Terms.Ratio*usableFraction*sum(&w.requests) + b.slack(now))
+	if limit <= 0 {
+		return 1
+	}
+	return min(sum(&w.extras)/limit, 1)
+}
+
 // Return takes back an extra attempt that was counted at the given time and was never
 // sent.
 func (b *Budget) Return(s leverid.ServiceID, taken, now time.Time) {
--- a/internal/leverbudget/budget_test.go
+++ b/internal/leverbudget/budget_test.go
@@ -138,6 +138,26 @@
 	}
 }
 
+// TestHedgesUsed checks that the fraction reaches 1 with the last hedge that is allowed,
+// so that it can serve as the price of a hedge.
+func TestHedgesUsed(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := &leverbudget.Budget{Terms: leverbudget.Terms{Ratio: 0.2, Window: 10 * time.Second}}
+	is.Equal(b.HedgesUsed("s", now), 1.0)
+	for range 1000 {
+		b.CountRequest("s", now)
+	}
+	last := 0.0
+	for b.Take("s", leverbudget.Hedge, now) {
+		used := b.HedgesUsed("s", now)
+		is.True(used > last)
+		last = used
+	}
+	is.True(last > 0.95)
+	is.Equal(b.HedgesUsed("s", now.Add(time.Minute)), 1.0)
+}
+
 // TestNoWindow guards against a division by zero with settings that state no window: there
 // are no extra attempts then.
 func TestNoWindow(t *testing.T) {
--- a/internal/levercost/shape.go
+++ b/internal/levercost/shape.go
@@ -1,6 +1,6 @@
-// Package levercost learns how long calls take, as distributions, and estimates how long
-// calls in flight have left. It does no I/O and takes times as arguments. Its types are
-// not safe for concurrent use.
+// Package levercost learns how long calls take, as distributions, and decides which
+// calls that are in flight get a second attempt. It does no I/O and takes times as
+// arguments. Its types are not safe for concurrent use.
 package levercost
 
 import "math"
@@ -15,8 +15,8 @@
 	// memory is the number of calls after which an observation has lost most of its
 	// weight.
 	memory = 4000
-	// refreshInterval is the number of observations after which the table is computed
-	// again.
+	// refreshInterval is the number of observations after which the tables are
+	// computed again.
 	refreshInterval = 128
 	// minObservations is the number of observations from which a Shape is usable.
 	minObservations = 256
@@ -30,9 +30,11 @@
 	// next is the weight of the next observation.
 	next  float64
 	count int
-	// rest is the mean time that calls have left which have taken the lower bound of a
-	// bin.
-	rest [binCount + 1]float64
+	// survival is the fraction of calls that take longer than the lower bound of a
+	// bin, rest the mean time that those have left then.
+	survival, rest [binCount + 1]float64
+	// first is the result of FirstHedge.
+	first float64
 }
 
 // Add records a call that took the given multiple of the expected time.
@@ -48,29 +50,28 @@
 	}
 }
 
-// Ready reports whether there are enough observations for Rest.
+// Ready reports whether there are enough observations for Survival and Rest.
 func (s *Shape) Ready() bool { return s.count >= minObservations }
 
+// Survival returns the fraction of calls that take longer than the ratio.
+func (s *Shape) Survival(ratio float64) float64 { return interpolate(&s.survival, ratio) }
+
 // Rest returns the mean time that a call has left that has taken the ratio so far.
-func (s *Shape) Rest(ratio float64) float64 {
-	if ratio <= minRatio {
-		return s.rest[0]
-	}
-	x := math.Log2(ratio/minRatio) * binsPerOctave
-	i := int(x)
-	if i >= binCount {
-		return s.rest[binCount]
-	}
-	return s.rest[i] + (x-float64(i))*(s.rest[i+1]-s.rest[i])
-}
+func (s *Shape) Rest(ratio float64) float64 { return interpolate(&s.rest, ratio) }
+
+// FirstHedge returns the least ratio at which a hedge may be worthwhile if both upstreams
+// are alike.
+func (s *Shape) FirstHedge() float64 { return s.first }
 
-// refresh computes the table and scales the weights.
+// refresh computes the tables and scales the weights.
 func (s *Shape) refresh() {
 	total := 0.0
 	for _, w := range s.weights {
 		total += w
 	}
 	above, area := 0.0, 0.0
+	s.survival[binCount], s.rest[binCount] = 0, 0
+	s.first = bounds[binCount]
 	for i := binCount - 1; i >= 0; i-- {
 		s.weights[i] /= s.next
 		w := s.weights[i] * s.next / total
@@ -78,14 +79,30 @@
 		width := bounds[i+1] - bounds[i]
 		area += above*width + w*width/2
 		above += w
+		s.survival[i] = above
 		s.rest[i] = 0
 		if above > 0 {
 			s.rest[i] = area / above
 		}
+		if r := bounds[i]; r >= 1 && s.rest[i] >= firstAdvantage {
+			s.first = r
+		}
 	}
 	s.next = 1
 }
 
+func interpolate(table *[binCount + 1]float64, ratio float64) float64 {
+	if ratio <= minRatio {
+		return table[0]
+	}
+	x := math.Log2(ratio/minRatio) * binsPerOctave
+	i := int(x)
+	if i >= binCount {
+		return table[binCount]
+	}
+	return table[i] + (x-float64(i))*(table[i+1]-table[i])
+}
+
 func bin(ratio float64) int {
 	if ratio <= minRatio {
 		return 0
--- a/internal/leverengine/attempt.go
+++ b/internal/leverengine/attempt.go
@@ -66,7 +66,7 @@
 	f := a.fanout
 	e := f.engine
 	u := a.preferred.upstream
-	e.Health.Begin(u, f.class, a.preferred.at)
+	e.Health.BeginCall(u, f.class, a.preferred.at)
 	if f.call == nil {
 		f.call = leverpool.NewCall(f.req.Method, f.req.URI, f.req.Host, f.req.Header, f.req.Body)
 	}
--- a/internal/leverengine/engine.go
+++ b/internal/leverengine/engine.go
@@ -60,6 +60,8 @@
 	Brancher Brancher
 	// Estimator, if set, estimates the times of calls instead of Health.
 	Estimator Estimator
+	// Hedges, if set, decides on hedges instead of Health.
+	Hedges HedgePolicy
 	// RefuseKeys, if set, returns why requests that need a key are refused now, or "".
 	RefuseKeys func() string
 	// Regions holds the regions of the failure domains.
--- a/internal/leverengine/fanout.go
+++ b/internal/leverengine/fanout.go
@@ -173,7 +173,7 @@
 	f.deadline = req.deadline(route)
 	f.partialAt = req.Received.Add(route.Objective - req.CallerRTT - e.answerLag.Estimate() - callerMargin)
 	f.latePartialAt = req.Received.Add(lateFactor * route.Objective)
-	f.hedgeAt = f.startTime.Add(min(e.Health.SlowAfter(f.class), time.Duration(maxHedgeDelayFraction*float64(route.Objective))))
+	f.scheduleHedges()
 	return f
 }
 
--- a/internal/leverengine/place.go
+++ b/internal/leverengine/place.go
@@ -72,7 +72,7 @@
 		return
 	}
 	now := e.Timer.Now()
-	e.Health.Begin(u, a.fanout.class, now)
+	e.Health.BeginCall(u, a.fanout.class, now)
 	a.placed.Store(&placement{u, now})
 }
 
--- a/internal/leverengine/schedule.go
+++ b/internal/leverengine/schedule.go
@@ -13,6 +13,10 @@
 	partialAt, latePartialAt time.Time
 	// hedgeAt is when parts with one attempt in flight are hedged next.
 	hedgeAt time.Time
+	// weighHedges is set if each hedge is decided on by its own cost and gain.
+	weighHedges bool
+	// hedgeAllAfter is the age from which every attempt is hedged.
+	hedgeAllAfter time.Duration
 }
 
 // nextWake returns when the request must be reconsidered if no attempt ends
--- a/internal/leverhealth/load.go
+++ b/internal/leverhealth/load.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"arbutuslever.dev/lever/internal/levercost"
 	"arbutuslever.dev/lever/internal/leverdirectory"
 )
 
@@ -76,3 +77,16 @@
 	w := s.stated.weight(paceHalfLife, now)
 	return v + w*(s.slowness.usual(now)*float64(s.stated.Pace)/usualPace-v)
 }
+
+// expect returns what is expected of a call with the given mean time, in seconds.
+func (s *state) expect(mean float64, now time.Time) levercost.Expectation {
+	e := s.slowness.expect(mean, now)
+	if s.stated.Pace == 0 {
+		return e
+	}
+	// The stated pace takes the place of what was learned as far as it still holds.
+	if w := s.stated.weight(paceHalfLife, now); w > e.Weight {
+		e.Last, e.Weight = e.Usual*float64(s.stated.Pace)/usualPace, w
+	}
+	return e
+}
--- a/internal/leverhealth/slowness.go
+++ b/internal/leverhealth/slowness.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"arbutuslever.dev/lever/internal/levercost"
 )
 
 const (
@@ -70,3 +72,8 @@
 	s.excess = usual - 1 + usualWeight*(min(v, usualClip*usual)-usual)
 	s.at = now
 }
+
+// expect returns what is expected of a call of a class with the given mean, in seconds.
+func (s *slowness) expect(mean float64, now time.Time) levercost.Expectation {
+	return levercost.Expectation{Usual: mean * s.usual(now), Last: mean * s.last, Weight: s.weight(now)}
+}
--- a/internal/leverhealth/tracker.go
+++ b/internal/leverhealth/tracker.go
@@ -91,8 +91,7 @@
 	states  map[leverdirectory.Key]*state
 	classes map[Class]*classStats
 	blocks  blocks
-	// shape is the distribution of the times of all classes, relative to what was
-	// expected of each call.
+	// shape is the distribution of the times of all classes.
 	shape levercost.Shape
 }
 
@@ -104,6 +103,9 @@
 	// queue.
 	base float64
 	n    int
+	// shape is the distribution of the times, relative to what was expected of each
+	// upstream.
+	shape levercost.Shape
 }
 
 // state holds the estimates for one incarnation of an upstream.
@@ -170,12 +172,12 @@
 	return s
 }
 
-// Begin records the start of a call.
-func (t *Tracker) Begin(u *leverdirectory.Upstream, c Class, now time.Time) {
+// Begin records the start of a call of an unknown class.
+func (t *Tracker) Begin(u *leverdirectory.Upstream, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(u, now)
-	s.inFlight = append(s.inFlight, flight{now, t.class(c).mean})
+	s.inFlight = append(s.inFlight, flight{at: now})
 }
 
 // Withdraw records that the call that began at start is not sent to the upstream.
@@ -278,6 +280,7 @@
 	stats := t.class(c)
 	v := took.Seconds()
 	ratio := v / max(stats.mean, minMean)
+	stats.shape.Add(ratio / s.slowness.usual(now))
 	t.shape.Add(ratio / s.slowness.usual(now))
 	clipped := min(v, stats.mean+4*stats.deviation)
 	stats.n++
