--- a/internal/levercost/replay_test.go
+++ b/internal/levercost/replay_test.go
@@ -188,8 +188,9 @@
 }
 
 // TestReplay compares policies on the load of a customer with uneven upstreams, and
-// prints what callers see. Deciding on each hedge by its age and gain must leave out
-// clearly fewer parts of quick searches than hedging all at fixed times.
+// prints what callers see. Compared with the tracker as it was, which hedged all parts at
+// fixed times, half of the parts of quick searches may be missing. CI runs it without the
+// race detector.
 func TestReplay(t *testing.T) {
 	if testing.Short() {
 		t.Skip("replays many requests")
@@ -205,9 +206,11 @@
 				})
 			})
 		}
-		const most = 0.85
-		if before, ok := missing["tracker"]; ok && float64(missing["cost"]) > most*float64(before) {
-			t.Errorf("faulty %t: %d parts missing, at most %.0f%% of %d", faulty, missing["cost"], 100*most, before)
-		}
+		t.Run(fmt.Sprintf("halved faulty %t", faulty), func(t *testing.T) {
+			const most = 0.5
+			if before, ok := missing["tracker"]; ok && float64(missing["cost"]) > most*float64(before) {
+				t.Errorf("%d parts missing, at most %.0f%% of %d", missing["cost"], 100*most, before)
+			}
+		})
 	}
 }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,8 +9,8 @@
   sed 's/^/  /' KNOWN-RED.txt
 fi
 go test -timeout 40m ${RACE:+-race -short} ${known_red:+-skip "$known_red"} "$@" ./...
-# The long trial cases are too slow under the race detector. It covers the same
-# code in the short cases and in leverkernel.
+# The long trial cases and the replay are too slow under the race detector. It covers
+# the same code in the short cases and in leverkernel.
 if [ -n "${RACE:-}" ]; then
-  go test -timeout 40m ${known_red:+-skip "$known_red"} "$@" ./internal/levertrial
+  go test -timeout 40m ${known_red:+-skip "$known_red"} "$@" ./internal/levertrial ./internal/levercost
 fi
