--- a/internal/leverrank/limiter.go
+++ b/internal/leverrank/limiter.go
@@ -153,8 +153,7 @@
 
 // Declined returns the time after which there is capacity for an admitted request that
 // upstreams have declined, or 0 if that is not known. The request's work is not given
-// back: then an organisation with a flood sent more of what upstreams decline, and the
-// other one in TestHotOrganisation got 0.86 instead of 0.93 of the value.
+// back: then an organisation with a flood would send more of what upstreams decline.
 func (l *Limiter) Declined(r *Request, now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/leverrank/returns.go
+++ b/internal/leverrank/returns.go
@@ -19,9 +19,8 @@
 	returnGrace = time.Second
 	// maxReturns bounds the refused requests that are remembered.
 	maxReturns = 4096
-	// returnWeight is the weight of one request in the average fraction that returns. At
-	// 0.05, the average followed single bursts: in a trial of TestShares, 257 requests that
-	// returned were refused again, at 0.01 it was 15. initialReturns is that fraction before any is known.
+	// returnWeight is the weight of one request in the average fraction that returns, which
+	// must not follow single bursts. initialReturns is that fraction before any is known.
 	returnWeight   = 0.01
 	initialReturns = 0.5
 	// spreadFraction is the fraction of maxReturn by which requests without a promise
--- a/internal/leverrank/share.go
+++ b/internal/leverrank/share.go
@@ -24,26 +24,20 @@
 	surgeRequests = 3
 	// leastServed is the least fraction of an organisation's work that is admitted,
 	// relative to the fraction of all work of its rank: no one is served less than half
-	// as often as all. At 0.5, the hot organisation of TestShares at 1.2 times the capacity
-	// was served 0.22 and all 0.47. At 0.55, it was 0.236 and 0.48 in the worst of 30 sets
-	// of seeds.
+	// as often as all. It is above 0.5 because what is served lags behind a flood.
 	leastServed = 0.57
 	// burstTime is the time for which an account saves what its organisation has not
 	// used. An account holds burstRequests requests at least, because the time between
-	// two requests of a small organisation is longer. At 2, the others beside the largest of
-	// 79 in TestShares were served 0.923, at 4 0.962. At 8, two hot organisations there were
-	// served less than half as often as all.
+	// two requests of a small organisation is longer.
 	burstTime     = 500 * time.Millisecond
 	burstRequests = 4
 	// dueDebt is how many times its most tokens an account may owe for requests that
-	// return at the time that they were told. At 1, 145 of 5,586 in TestShares were refused
-	// again, at 2 13 of 5,496. At 4, it was 332 of 549,854 with 1,000 seeds, at 8 none.
+	// return at the time that they were told, so that they are not refused again.
 	dueDebt = 8
 	// spareTime is the same for work that no account has used.
 	spareTime = 250 * time.Millisecond
 	// spareReserve is the time, in seconds, of which the spare work is kept for accounts
-	// that have tokens. At 0.125, an eighth of the upstream's time was unused in
-	// TestShares.
+	// that have tokens. More of it would leave the upstream idle.
 	spareReserve = 0.025
 )
 
