Review cases 7 and 8: settings as in the deployments with tenants

Cause: the settings lacked the contracts and bounds of tenants. Change: they name the contracts tenants and quota and the bounds of keys.

--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -119,6 +119,10 @@
 	f := &fleet{program: program, dir: dir}
 	all := bounds()
 	maps.Copy(all, more)
+	contracts := []string{"base", "drain", "config", "cost", "retry", "recover", "scatter", "platform"}
+	if all["quotaWindowS"] != nil {
+		contracts = append(contracts, "tenants", "quota")
+	}
 	seeds := make([]string, 0, vms)
 	for n := range vms {
 		v := &vm{n: n, dir: dir, ports: [3]int{port, port + 1, port + 2}}
@@ -136,7 +140,7 @@
 			"internalPortRange": []int{7380, 7395}, "seeds": seeds, "bootstrap": true, "inTolerance": false,
 			"limits":  map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
 			"dataDir": nil, "discovery": "platform", "entry": "vip", "heartbeatMs": 1200,
-			"contracts":      []string{"base", "drain", "config", "cost", "retry", "recover", "scatter", "platform"},
+			"contracts":      contracts,
 			"faultTolerance": map[string]int{"machines": 1, "zones": 0, "regions": 0}, "bounds": all,
 			"platform": map[string]any{"address": store, "form": "objects", "writesPerS": 400, "readsPerS": 2000, "historyS": 20, "valueBytes": 1048576, "minTtlMs": 1000},
 		})
--- a/review/standin2/tenants.go
+++ b/review/standin2/tenants.go
@@ -19,7 +19,7 @@
 const limitedTenant = "limited"
 
 // quotaBounds are the bounds of the limits.
-var quotaBounds = map[string]any{"quotaWindowS": 5, "quotaExcess": 0.1, "quotaSlack": 20}
+var quotaBounds = map[string]any{"quotaWindowS": 5, "quotaExcess": 0.1, "quotaSlack": 20, "strictRevoke": false, "revokeMs": 5000}
 
 // tenantAnswers counts the answers to each tenant by status.
 type tenantAnswers map[string]map[int]int
