--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -106,8 +106,9 @@
 }
 
 func newEntry(path string, s *platform.Settings) *entry {
-	if s.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.Limits.MemoryMB<<20)))
+	memory := s.MemoryBytes()
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(memory)))
 	}
 	sink := leverlog.NewSink(os.Stdout)
 	log := leverlog.New(sink, "info", s.Node)
@@ -128,8 +129,8 @@
 		},
 		Store: store, Evacuations: evacuations, Cold: s.ColdTerms(), Regions: s.Regions(),
 		Protocol: platform.Protocol{}, Log: log, PeerKeys: leverpeer.NewKeys(s.Platform.Address),
-		Seeds: seeds(s), Terms: budgetTerms(s), AllowanceTerms: allowanceTerms(s), Metrics: e.metrics, MaxInFlight: s.Limits.MemoryMB * inFlightPerMB,
-		MaxBodyBytes: int64(bodyFraction * float64(s.Limits.MemoryMB<<20)), DrainTime: time.Duration(s.Bounds.DrainMS) * time.Millisecond,
+		Seeds: seeds(s), Terms: budgetTerms(s), AllowanceTerms: allowanceTerms(s), Metrics: e.metrics, MaxInFlight: int(memory >> 20 * inFlightPerMB),
+		MaxBodyBytes: int64(bodyFraction * float64(memory)), DrainTime: s.DrainTime(),
 		RevokeWithin: s.RevokeWithin(),
 	})
 	e.gate = &levergate.Gate{Node: e.node, Log: e.log, Ready: &platform.Ready{Ready: e.node.Ready}}
