internal/leverarchive, platform: crash levels outlive the processes

Cause: the levels of contents lived in the memory of the processes. VMs that start together learn them anew, at the cost of two crashes as evidence and one as a trial.

Change: the VM that watches the store keeps an object there for each content that is barred, or suspect for 2 s. It reads them when it begins to watch, and then writes what differs by conditional writes. A VM takes no requests until it has the levels, for at most 3 s after its start. Also, the relay sends the suspicion that follows a bar to VMs that start in that time; it sent nothing.

Why here and not at the VM that finds out: a write that fails there is lost with that VM, and what the store loses nobody writes again.

--- a/cmd/arbutuslever/entry.go
+++ b/cmd/arbutuslever/entry.go
@@ -127,7 +127,7 @@
 			ID: leverid.VMID(s.Node), Domain: leverid.Domain(s.Zone), Peer: s.Listen.Control, Caller: s.Listen.Front,
 			State: levermsg.Live, Power: s.Power(),
 		},
-		Store: store, Evacuations: evacuations, Cold: s.ColdTerms(), Regions: s.Regions(),
+		Store: store, CrashRecords: store.CrashRecords(), Evacuations: evacuations, Cold: s.ColdTerms(), Regions: s.Regions(),
 		Protocol: platform.Protocol{}, Log: log, PeerKeys: leverpeer.NewKeys(s.Platform.Address),
 		Seeds: seeds(s), Terms: budgetTerms(s), AllowanceTerms: allowanceTerms(s), Metrics: e.metrics, MaxInFlight: int(memory >> 20 * inFlightPerMB),
 		MaxBodyBytes: int64(bodyFraction * float64(memory)), DrainTime: s.DrainTime(),
--- a/internal/levercrash/guard.go
+++ b/internal/levercrash/guard.go
@@ -4,6 +4,7 @@
 package levercrash
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,22 @@
 	Barred
 )
 
+var levelNames = [...]string{Clear: "clear", Suspect: "suspect", Barred: "barred"}
+
+// String returns the level's name.
+func (l Level) String() string {
+	if int(l) < len(levelNames) {
+		return levelNames[l]
+	}
+	return "unknown"
+}
+
+// LevelOf returns the level with a name, or false if there is none.
+func LevelOf(name string) (Level, bool) {
+	i := slices.Index(levelNames[:], name)
+	return Level(max(i, 0)), i >= 0
+}
+
 const (
 	// suspectTTL and barredTTL are how long the levels last. After that, a barred
 	// request is suspect again for probationTTL, so that it may crash one upstream more.
@@ -54,9 +71,9 @@
 	Until time.Time `json:"until" msgpack:"t"`
 }
 
-// current returns an entry as it counts now, or false and the zero Entry if it has
+// Current returns an entry as it counts now, or false and the zero Entry if it has
 // expired.
-func (e Entry) current(now time.Time) (Entry, bool) {
+func (e Entry) Current(now time.Time) (Entry, bool) {
 	if e.Level == Barred && !now.Before(e.Until) {
 		e.Level, e.Since, e.Until = Suspect, e.Until, e.Until.Add(probationTTL)
 	}
@@ -83,7 +100,7 @@
 func (g *Guard) Level(f leverid.Fingerprint, now time.Time) (Level, leverid.UpstreamID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	e, ok := g.entries[f].current(now)
+	e, ok := g.entries[f].Current(now)
 	if !ok {
 		return Clear, ""
 	}
@@ -105,7 +122,7 @@
 func (g *Guard) Judge(r Reset, settle time.Duration, now time.Time) (Level, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	old, _ := g.entries[r.Fingerprint].current(now)
+	old, _ := g.entries[r.Fingerprint].Current(now)
 	ev := g.set.evidence[r.Fingerprint]
 	switch {
 	case old.Level == Barred:
@@ -143,7 +160,7 @@
 func (g *Guard) Suspect(r Reset, now time.Time) (Entry, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if e, ok := g.entries[r.Fingerprint].current(now); ok && e.Level != Clear {
+	if e, ok := g.entries[r.Fingerprint].Current(now); ok && e.Level != Clear {
 		return e, false
 	}
 	g.setLevel(r, Suspect, suspectTTL, now)
@@ -181,7 +198,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.set.evidence, f)
-	e, ok := g.entries[f].current(now)
+	e, ok := g.entries[f].Current(now)
 	if !ok || e.Level != Suspect {
 		return false
 	}
@@ -222,7 +239,7 @@
 	g.expire(now)
 	var changed []Entry
 	for _, e := range entries {
-		if old, _ := g.entries[e.Fingerprint].current(now); !now.Before(e.Until) || !supersedes(e, old) {
+		if old, _ := g.entries[e.Fingerprint].Current(now); !now.Before(e.Until) || !e.Supersedes(old) {
 			continue
 		}
 		g.put(e)
@@ -243,16 +260,16 @@
 	return old.Since.Add(time.Nanosecond)
 }
 
-// supersedes reports whether a replaces b. Barred lasts until it expires;
-// between the other levels the later entry counts.
-func supersedes(a, b Entry) bool {
-	if b.Fingerprint == 0 {
+// Supersedes reports whether e replaces old. Barred lasts until it expires; between the
+// other levels the later entry counts.
+func (e Entry) Supersedes(old Entry) bool {
+	if old.Fingerprint == 0 {
 		return true
 	}
-	if (a.Level == Barred) != (b.Level == Barred) {
-		return a.Level == Barred
+	if (e.Level == Barred) != (old.Level == Barred) {
+		return e.Level == Barred
 	}
-	return a.Since.After(b.Since)
+	return e.Since.After(old.Since)
 }
 
 // Entries returns the entries that have not expired, including Clear ones.
@@ -305,7 +322,7 @@
 	g.set.expire(now)
 	g.countTracked()
 	for f, e := range g.entries {
-		if e, ok := e.current(now); ok {
+		if e, ok := e.Current(now); ok {
 			g.entries[f] = e
 		} else {
 			delete(g.entries, f)
--- a/internal/leverdirectory/directory.go
+++ b/internal/leverdirectory/directory.go
@@ -50,6 +50,9 @@
 	byService map[leverid.ServiceID][]*Upstream
 	byKey     map[Key]*Upstream
 	evacuations
+	// levelsAwaited is set while the crash levels have to be read before requests are
+	// routed.
+	levelsAwaited bool
 }
 
 // Upstreams returns the upstreams of a service that accept new requests and are in no
@@ -63,7 +66,9 @@
 func (v *View) Contains(k Key) bool { return v.byKey[k] != nil }
 
 // Usable reports whether requests can be routed by this View.
-func (v *View) Usable() bool { return v.Config != nil && v.UpstreamsLoaded && !v.awaited }
+func (v *View) Usable() bool {
+	return v.Config != nil && v.UpstreamsLoaded && !v.awaited && !v.levelsAwaited
+}
 
 // Directory holds the current View. The zero value is an empty Directory. It is
 // safe for concurrent use.
@@ -129,6 +134,17 @@
 	d.storeAndUnlock(&next)
 }
 
+// AwaitLevels sets whether no View is usable because the crash levels of contents are not
+// known yet. It reports whether that was so before.
+func (d *Directory) AwaitLevels(await bool) bool {
+	d.mu.Lock()
+	next := *d.View()
+	before := next.levelsAwaited
+	next.levelsAwaited = await
+	d.storeAndUnlock(&next)
+	return before
+}
+
 // storeAndUnlock must be called with the lock held and releases it before
 // OnChange.
 func (d *Directory) storeAndUnlock(v *View) {
--- a/internal/levernode/crash.go
+++ b/internal/levernode/crash.go
@@ -28,6 +28,7 @@
 	n.recordCrashes(entries)
 	n.mirror.AddCrashes(entries)
 	n.crashes.addLevels(entries)
+	n.levelsChanged()
 }
 
 var crashKinds = map[levercrash.Level]leverevent.Kind{
@@ -66,6 +67,9 @@
 		n.log.Info("a peer reports crashes", "peer", r.From.ID, "contents", len(changed))
 	}
 	n.mirror.AddCrashes(changed)
+	if len(changed) > 0 {
+		n.levelsChanged()
+	}
 	for _, reset := range m.Resets {
 		n.gatherReset(reset)
 	}
--- a/internal/levernode/follow.go
+++ b/internal/levernode/follow.go
@@ -139,6 +139,10 @@
 		wg.Add(1)
 		go n.runEvacuations(ctx, &wg)
 	}
+	if n.archive != nil {
+		wg.Add(1)
+		go n.runArchive(ctx, &wg)
+	}
 	n.upstreams.Run(ctx)
 }
 
--- a/internal/levernode/gauges.go
+++ b/internal/levernode/gauges.go
@@ -22,6 +22,9 @@
 	if n.evacuations != nil {
 		m.Gauge("domains-evacuated", func() float64 { return float64(len(n.engine.Directory.View().EvacuatedDomains())) })
 	}
+	if n.archive != nil {
+		m.Gauge("crash-records", func() float64 { return float64(n.archive.Len()) })
+	}
 	m.Gauge("requests-in-flight", func() float64 { return float64(n.engine.InFlight()) })
 	m.Gauge("store-current", func() float64 { return boolValue(n.mirror.Current()) })
 	m.Gauge("keys-refused", func() float64 { return boolValue(n.keysRefused.Load()) })
--- a/internal/levernode/life.go
+++ b/internal/levernode/life.go
@@ -51,6 +51,9 @@
 	if n.evacuations != nil {
 		go n.runEvacuationsWait(ctx)
 	}
+	if n.archive != nil {
+		go n.runLevelsWait(ctx)
+	}
 	go n.runAllowance(ctx)
 }
 
--- a/internal/levernode/node.go
+++ b/internal/levernode/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"arbutuslever.dev/lever/internal/leverallow"
+	"arbutuslever.dev/lever/internal/leverarchive"
 	"arbutuslever.dev/lever/internal/leverbranch"
 	"arbutuslever.dev/lever/internal/leverbudget"
 	"arbutuslever.dev/lever/internal/levercold"
@@ -87,8 +88,10 @@
 	Regions leverdirectory.Regions
 	// Evacuations, if set, is the collection of the evacuated failure domains.
 	Evacuations leverfeed.Source[leverid.Domain]
-	Log         leverlog.Logger
-	Metrics     *levermetric.Set
+	// CrashRecords, if set, keeps the crash levels of contents.
+	CrashRecords leverarchive.Store
+	Log          leverlog.Logger
+	Metrics      *levermetric.Set
 	// MaxInFlight is the maximum number of concurrent requests, 0 for no limit.
 	MaxInFlight int
 	// MaxBodyBytes is the maximum memory, in bytes, of large responses that are
@@ -157,7 +160,9 @@
 	// the evidence of all VMs about some fingerprints.
 	crashes  *crashQueue
 	gatherer levercrash.Gatherer
-	keys     *leverrevocation.Keys
+	// archive is nil if the store does not keep the crash levels.
+	archive *leverarchive.Archive
+	keys    *leverrevocation.Keys
 	// keysRefused is whether requests that need a key are refused.
 	keysRefused atomic.Bool
 	// allowance limits the requests of organisations. wasListed is whether the list had
@@ -194,12 +199,17 @@
 	n.engine.Brancher = n.branches
 	n.initHomes()
 	n.initEvacuations()
+	n.initArchive()
 	n.initAllowance()
 	n.mirror.OnConfigs = n.applyConfigs
 	n.mirror.OnUpstreams = directory.SetUpstreams
 	n.mirror.OnVMs = n.applyVMs
 	n.mirror.OnCrashes = func(entries []levercrash.Entry) []levercrash.Entry {
-		return n.mergeCrashes(entries, n.timer.Now())
+		changed := n.mergeCrashes(entries, n.timer.Now())
+		if len(changed) > 0 {
+			n.levelsChanged()
+		}
+		return changed
 	}
 	n.registerGauges()
 	return n
--- a/internal/leverrelay/crash.go
+++ b/internal/leverrelay/crash.go
@@ -93,11 +93,32 @@
 	delete(m.crashes, victim)
 }
 
+// SetCrashesKnown records that the crash levels that the store holds have been added.
+func (m *Mirror) SetCrashesKnown() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.setCrashesKnown()
+}
+
+func (m *Mirror) setCrashesKnown() {
+	if m.crashesKnown {
+		return
+	}
+	m.crashesKnown = true
+	m.seq++
+	if m.OnCrashesKnown != nil {
+		m.OnCrashesKnown()
+	}
+	m.notifyWaiters()
+}
+
+// crashesSince returns the levels recorded after seq. A bar that has expired is sent as
+// the suspicion that follows it.
 func (m *Mirror) crashesSince(seq uint64, now time.Time) []CrashEntry {
 	var out []CrashEntry
 	for _, c := range m.crashes {
-		if c.seq > seq && now.Before(c.entry.Until) {
-			out = append(out, NewCrashEntry(c.entry, now))
+		if e, ok := c.entry.Current(now); ok && c.seq > seq {
+			out = append(out, NewCrashEntry(e, now))
 		}
 	}
 	return out
--- a/internal/leverrelay/crash_test.go
+++ b/internal/leverrelay/crash_test.go
@@ -46,3 +46,35 @@
 	last, _ := m.Since(next.Epoch, next.Seq)
 	is.Equal(barred(last), 0)
 }
+
+// TestProbationIsRelayed guards against a content that is clear on a VM that starts after
+// its bar has expired, while all others still suspect it.
+func TestProbationIsRelayed(t *testing.T) {
+	is := is.New(t)
+	parent, child := leverrelay.NewMirror(), leverrelay.NewMirror()
+	var got []levercrash.Entry
+	child.OnCrashes = func(entries []levercrash.Entry) []levercrash.Entry {
+		got = append(got, entries...)
+		return entries
+	}
+	known := 0
+	child.OnCrashesKnown = func() { known++ }
+	now := time.Now()
+	parent.AddCrashes([]levercrash.Entry{
+		{Fingerprint: 1, Level: levercrash.Barred, Since: now.Add(-20 * time.Minute), Until: now.Add(-10 * time.Minute)},
+		{Fingerprint: 2, Level: levercrash.Barred, Since: now.Add(-80 * time.Minute), Until: now.Add(-70 * time.Minute)},
+	})
+	u, _ := parent.Since(0, 0)
+	child.Merge(u)
+	is.Equal(len(got), 1)
+	is.Equal(got[0].Fingerprint, leverid.Fingerprint(1))
+	is.Equal(got[0].Level, levercrash.Suspect)
+	is.True(got[0].Until.Sub(now) > 29*time.Minute)
+	is.Equal(known, 0) // the parent has not read the store's records
+	parent.SetCrashesKnown()
+	for range 2 {
+		u, _ = parent.Since(u.Epoch, u.Seq)
+		child.Merge(u)
+	}
+	is.Equal(known, 1)
+}
--- a/internal/leverrelay/mirror.go
+++ b/internal/leverrelay/mirror.go
@@ -31,6 +31,8 @@
 	Upstreams Delta[leverdirectory.Upstream] `msgpack:"u"`
 	VMs       Delta[levermsg.VM]             `msgpack:"v"`
 	Crashes   []CrashEntry                   `msgpack:"h"`
+	// CrashesKnown means that the parent knows the crash levels that the store holds.
+	CrashesKnown bool `msgpack:"n,omitempty"`
 	// Evacuations holds the evacuated failure domains. It is nil if the parent does not
 	// know them, which does not mean that there are none.
 	Evacuations *Delta[leverid.Domain] `msgpack:"x,omitempty"`
@@ -51,6 +53,9 @@
 	// OnCrashes merges the crash levels that a parent sent and returns the
 	// entries that were new.
 	OnCrashes func([]levercrash.Entry) []levercrash.Entry
+	// OnCrashesKnown, if set, is called once when the crash levels that the store holds
+	// are known.
+	OnCrashesKnown func()
 
 	mu sync.Mutex
 	// epoch distinguishes this copy from those of other VMs and of earlier
@@ -70,6 +75,8 @@
 	vms         collection[levermsg.VM]
 	evacuations collection[leverid.Domain]
 	crashes     map[leverid.Fingerprint]crashRecord
+	// crashesKnown is set once crashes holds all levels of the store.
+	crashesKnown bool
 
 	encoder encoder
 }
@@ -138,6 +145,9 @@
 		}
 		m.addCrashes(m.OnCrashes(entries))
 	}
+	if u.CrashesKnown {
+		m.setCrashesKnown()
+	}
 }
 
 // SetPath sets the VMs that connect this VM to the store, with this VM last. An
@@ -212,6 +222,6 @@
 	return &Update{
 		Epoch: m.epoch, Seq: m.seq, Reset: reset, Path: m.path,
 		Configs: m.configs.since(seq), Upstreams: m.upstreams.since(seq), VMs: m.vms.since(seq),
-		Crashes: m.crashesSince(seq, time.Now()), Evacuations: m.evacuationsSince(seq),
+		Crashes: m.crashesSince(seq, time.Now()), CrashesKnown: m.crashesKnown, Evacuations: m.evacuationsSince(seq),
 	}, m.changed
 }
