internal/levercrash, levernode: evidence of one crash outlives the processes

What callers saw: a request that crashes upstreams and comes again is never stopped if all processes are killed after each crash.

Cause: one reset is evidence on the two VMs that gather it, in memory only.

Change: a reset that no response has answered for 2.5 s makes the content noted on all VMs and in the store's records. Its requests run as usual; a reset by another run makes it suspect. At most 32 records are of noted contents, as many upstreams that crash at once leave innocent ones. The level has a field of its own in messages, as earlier builds bar what they do not know; levels that only later builds know are dropped.

--- a/internal/leverarchive/records.go
+++ b/internal/leverarchive/records.go
@@ -51,6 +51,9 @@
 	// renewThreshold is how much later an entry must expire than a record of the same
 	// level to replace it. The times of an entry vary with the way that it took.
 	renewThreshold = time.Minute
+	// maxNoted bounds the records of contents that are only noted. When many upstreams
+	// crash at once they are those of innocent contents.
+	maxNoted = 32
 )
 
 // Records decides how the store's records have to change so that they agree with the
@@ -80,13 +83,20 @@
 // may be due although no level changes, or 0.
 func (r *Records) Next(levels []levercrash.Entry, now time.Time) (c Change, ok bool, wait time.Duration) {
 	levels = slices.SortedFunc(slices.Values(levels), func(a, b levercrash.Entry) int {
-		return cmp.Or(cmp.Compare(b.Level, a.Level), cmp.Compare(a.Fingerprint, b.Fingerprint))
+		return cmp.Or(cmp.Compare(b.Level.Severity(), a.Level.Severity()), cmp.Compare(a.Fingerprint, b.Fingerprint))
 	})
+	noted := 0
+	for _, rec := range r.byContent {
+		if rec.Entry.Level == levercrash.Noted {
+			noted++
+		}
+	}
 	inForce := make(map[leverid.Fingerprint]bool, len(levels))
 	for _, e := range levels {
 		inForce[e.Fingerprint] = true
 		young := suspicionDelay - now.Sub(e.Since)
 		switch c, ok := r.change(e, now); {
+		case ok && e.Level == levercrash.Noted && noted >= maxNoted:
 		case ok && e.Level == levercrash.Suspect && young > 0:
 			if wait == 0 || young < wait {
 				wait = young
--- a/internal/leverarchive/records_test.go
+++ b/internal/leverarchive/records_test.go
@@ -28,6 +28,7 @@
 		level  levercrash.Level
 		rev    leverfeed.Revision
 	}
+	noted := entry(7, levercrash.Noted, 0, 10*minute)
 	suspect, barred := entry(7, levercrash.Suspect, 0, 10*minute), entry(7, levercrash.Barred, 0, 10*minute)
 	cases := map[string]struct {
 		stored, level *levercrash.Entry
@@ -37,6 +38,9 @@
 		"nothing":                          {},
 		"new suspicion":                    {nil, &suspect, time.Second, nil},
 		"suspicion that stands":            {nil, &suspect, 2 * time.Second, &change{leverarchive.Create, levercrash.Suspect, 0}},
+		"noted":                            {nil, &noted, 0, &change{leverarchive.Create, levercrash.Noted, 0}},
+		"suspicion after that":             {&noted, &suspect, 2 * time.Second, &change{leverarchive.Replace, levercrash.Suspect, 3}},
+		"noted below a suspicion":          {&suspect, new(entry(7, levercrash.Noted, minute, 11*minute)), minute, nil},
 		"new bar":                          {nil, &barred, 0, &change{leverarchive.Create, levercrash.Barred, 0}},
 		"written already":                  {&barred, &barred, 0, nil},
 		"bar after a suspicion":            {&suspect, &barred, 0, &change{leverarchive.Replace, levercrash.Barred, 3}},
@@ -90,3 +94,23 @@
 	is.True(ok)
 	is.Equal(c.Entry.Fingerprint, leverid.Fingerprint(200))
 }
+
+// TestNotedRecordsAreBounded guards against hundreds of records of innocent contents when
+// many upstreams crash at once, which also delay that of a bar.
+func TestNotedRecordsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var levels []levercrash.Entry
+	for i := range 500 {
+		levels = append(levels, entry(leverid.Fingerprint(i+1), levercrash.Noted, 0, time.Hour))
+	}
+	var r leverarchive.Records
+	n := 0
+	for c, ok, _ := r.Next(levels, start); ok; c, ok, _ = r.Next(levels, start) {
+		r.Set(leverarchive.Record{Entry: c.Entry, Revision: 1})
+		n++
+	}
+	is.Equal(n, 32)
+	c, ok, _ := r.Next(append(levels, entry(1000, levercrash.Barred, 0, time.Hour)), start)
+	is.True(ok)
+	is.Equal(c.Entry.Level, levercrash.Barred)
+}
--- a/internal/levercrash/evidence.go
+++ b/internal/levercrash/evidence.go
@@ -202,6 +202,10 @@
 // crashed, soon reports a response to it.
 const SettleTime = time.Second
 
+// NoteDelay is how long a reset must stand without a response, of the upstream or to the
+// request, to be noted on all VMs. Reports of responses take up to half a second.
+const NoteDelay = aliveWindow + 500*time.Millisecond
+
 // Gatherer combines the evidence of all VMs about the fingerprints of which this VM is
 // in charge. The zero value is ready to use. It is safe for concurrent use.
 type Gatherer struct {
@@ -230,6 +234,19 @@
 	delete(g.set.evidence, f)
 }
 
+// Standing returns the reset of a fingerprint that no response has answered for NoteDelay,
+// or false if there is none.
+func (g *Gatherer) Standing(f leverid.Fingerprint, now time.Time) (Reset, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ev := g.set.evidence[f]
+	if ev == nil {
+		return Reset{}, false
+	}
+	r, ok := ev.resets[run{ev.last.Upstream, ev.last.Born}]
+	return ev.last, ok && now.Sub(r.at) >= NoteDelay
+}
+
 // Review returns the last reset of a fingerprint, and whether it is still suspicious. If
 // again is set, another review is due after SettleTime.
 func (g *Gatherer) Review(f leverid.Fingerprint, now time.Time) (last Reset, suspicious, again bool) {
--- a/internal/levercrash/guard.go
+++ b/internal/levercrash/guard.go
@@ -12,9 +12,8 @@
 	"arbutuslever.dev/lever/internal/leverid"
 )
 
-// Level is how requests with a fingerprint are treated. When two VMs' entries
-// are merged, Barred outweighs the other levels; between those, the later entry
-// counts.
+// Level is how requests with a fingerprint are treated. Its numbers are those of messages
+// between VMs.
 type Level uint8
 
 // Levels of a fingerprint.
@@ -25,13 +24,25 @@
 	Suspect
 	// Barred requests are refused.
 	Barred
+	// Noted requests run normally. An upstream has reset one and, as far as is known, has
+	// crashed; that counts as evidence on all VMs.
+	Noted
 )
 
-var levelNames = [...]string{Clear: "clear", Suspect: "suspect", Barred: "barred"}
+// severities orders the levels.
+var severities = [...]int{Clear: 0, Noted: 1, Suspect: 2, Barred: 3}
+
+// Valid reports whether this build knows the level.
+func (l Level) Valid() bool { return int(l) < len(severities) }
+
+// Severity returns a number that is higher for graver levels. The level must be valid.
+func (l Level) Severity() int { return severities[l] }
+
+var levelNames = [...]string{Clear: "clear", Suspect: "suspect", Barred: "barred", Noted: "noted"}
 
 // String returns the level's name.
 func (l Level) String() string {
-	if int(l) < len(levelNames) {
+	if l.Valid() {
 		return levelNames[l]
 	}
 	return "unknown"
@@ -44,8 +55,9 @@
 }
 
 const (
-	// suspectTTL and barredTTL are how long the levels last. After that, a barred
+	// notedTTL, suspectTTL and barredTTL are how long the levels last. After that, a barred
 	// request is suspect again for probationTTL, so that it may crash one upstream more.
+	notedTTL     = evidenceTTL
 	suspectTTL   = 10 * time.Minute
 	barredTTL    = 10 * time.Minute
 	probationTTL = 40 * time.Minute
@@ -65,6 +77,8 @@
 	Service     leverid.ServiceID   `json:"service" msgpack:"s"`
 	// Upstream is one that reset the request; a trial runs on its shard.
 	Upstream leverid.UpstreamID `json:"upstream" msgpack:"u"`
+	// Born distinguishes runs of the upstream.
+	Born int64 `json:"born,omitempty" msgpack:"b,omitempty"`
 	// Since orders the entries of one fingerprint: a later Clear replaces an
 	// earlier Suspect. Until is when the entry expires.
 	Since time.Time `json:"since" msgpack:"a"`
@@ -160,13 +174,25 @@
 func (g *Guard) Suspect(r Reset, now time.Time) (Entry, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if e, ok := g.entries[r.Fingerprint].Current(now); ok && e.Level != Clear {
+	if e, ok := g.entries[r.Fingerprint].Current(now); ok && e.Level.Severity() >= Suspect.Severity() {
 		return e, false
 	}
 	g.setLevel(r, Suspect, suspectTTL, now)
 	return g.entries[r.Fingerprint], true
 }
 
+// MarkNoted makes a fingerprint noted, on evidence of one reset that stands, unless it has
+// a level. It returns the entry, and whether it is new.
+func (g *Guard) MarkNoted(r Reset, now time.Time) (Entry, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e, ok := g.entries[r.Fingerprint].Current(now); ok && e.Level != Clear {
+		return e, false
+	}
+	g.setLevel(r, Noted, notedTTL, now)
+	return g.entries[r.Fingerprint], true
+}
+
 // Good records that an upstream responded to a request with the fingerprint. It
 // deletes the evidence of the same shard, and reports whether there was some; for
 // successTTL, resets at different shards count as ordinary crashes. It takes no lock
@@ -260,14 +286,15 @@
 	return old.Since.Add(time.Nanosecond)
 }
 
-// Supersedes reports whether e replaces old. Barred lasts until it expires; between the
-// other levels the later entry counts.
+// Supersedes reports whether e replaces old. Barred lasts until it expires, and the graver
+// of two levels counts; between Clear and a level below Barred, the later entry does.
 func (e Entry) Supersedes(old Entry) bool {
 	if old.Fingerprint == 0 {
 		return true
 	}
-	if (e.Level == Barred) != (old.Level == Barred) {
-		return e.Level == Barred
+	anyClear := e.Level == Clear || old.Level == Clear
+	if e.Level != old.Level && (!anyClear || e.Level == Barred || old.Level == Barred) {
+		return e.Level.Severity() > old.Level.Severity()
 	}
 	return e.Since.After(old.Since)
 }
@@ -293,6 +320,7 @@
 		Level:       level,
 		Service:     r.Service,
 		Upstream:    r.Upstream,
+		Born:        r.Born,
 		Since:       nextSince(g.entries[r.Fingerprint], now),
 		Until:       now.Add(ttl),
 	})
--- a/internal/leverengine/crash.go
+++ b/internal/leverengine/crash.go
@@ -23,7 +23,7 @@
 	f.fingerprint = f.req.Fingerprint()
 	level, upstream := g.Level(f.fingerprint, f.startTime)
 	switch level {
-	case levercrash.Clear:
+	case levercrash.Clear, levercrash.Noted:
 		return f.run(ctx)
 	case levercrash.Suspect:
 		if !g.BeginTrial(f.fingerprint) {
--- a/internal/levernode/crash.go
+++ b/internal/levernode/crash.go
@@ -17,6 +17,8 @@
 type crashReport struct {
 	Crashes []leverrelay.CrashEntry `msgpack:"c"`
 	Resets  []levercrash.Reset      `msgpack:"r,omitempty"`
+	// Noted are levels that older builds do not know and would take for bars.
+	Noted []leverrelay.CrashEntry `msgpack:"n,omitempty"`
 	// Responded holds the fingerprints of requests with a response after a reset.
 	Responded []leverid.Fingerprint `msgpack:"g,omitempty"`
 }
@@ -37,7 +39,9 @@
 
 func (n *Node) recordCrashes(entries []levercrash.Entry) {
 	for _, e := range entries {
-		n.events.Add(crashKinds[e.Level], e.Fingerprint.String(), string(e.Upstream))
+		if kind, ok := crashKinds[e.Level]; ok {
+			n.events.Add(kind, e.Fingerprint.String(), string(e.Upstream))
+		}
 	}
 }
 
@@ -48,7 +52,13 @@
 			n.gatherer.Forget(e.Fingerprint)
 		}
 	}
-	return n.engine.Crashes.Merge(entries, now)
+	changed := n.engine.Crashes.Merge(entries, now)
+	for _, e := range changed {
+		if e.Level == levercrash.Noted {
+			n.gatherReset(levercrash.Reset{Fingerprint: e.Fingerprint, Service: e.Service, Upstream: e.Upstream, Born: e.Born})
+		}
+	}
+	return changed
 }
 
 // serveCrashes merges another VM's crash report.
@@ -58,10 +68,7 @@
 		return err
 	}
 	now := n.timer.Now()
-	entries := make([]levercrash.Entry, len(m.Crashes))
-	for i, c := range m.Crashes {
-		entries[i] = c.Entry(now)
-	}
+	entries := leverrelay.Entries(now, m.Crashes, m.Noted)
 	changed := n.mergeCrashes(entries, now)
 	if len(changed) > 0 {
 		n.log.Info("a peer reports crashes", "peer", r.From.ID, "contents", len(changed))
@@ -84,6 +91,21 @@
 	if n.gatherer.Add(r, n.timer.Now()) {
 		n.reviewCrashesLater(r.Fingerprint)
 	}
+	f := r.Fingerprint
+	n.timer.RunAfter(levercrash.NoteDelay, func() { n.noteReset(f) })
+}
+
+// noteReset makes the reset of a fingerprint known to all VMs if it stands.
+func (n *Node) noteReset(f leverid.Fingerprint) {
+	now := n.timer.Now()
+	r, ok := n.gatherer.Standing(f, now)
+	if !ok {
+		return
+	}
+	if e, changed := n.engine.Crashes.MarkNoted(r, now); changed {
+		n.log.Info("an upstream that reset a content has not responded since", "fingerprint", f, "service", r.Service, "upstream", r.Upstream)
+		n.queueCrashReport([]levercrash.Entry{e})
+	}
 }
 
 func (n *Node) reviewCrashesLater(f leverid.Fingerprint) {
--- a/internal/levernode/crashqueue.go
+++ b/internal/levernode/crashqueue.go
@@ -250,7 +250,12 @@
 	m := crashReport{Responded: d.responded}
 	now := n.timer.Now()
 	for _, l := range d.levels {
-		m.Crashes = append(m.Crashes, leverrelay.NewCrashEntry(l.entry, now))
+		e := leverrelay.NewCrashEntry(l.entry, now)
+		if e.Level == levercrash.Noted {
+			m.Noted = append(m.Noted, e)
+		} else {
+			m.Crashes = append(m.Crashes, e)
+		}
 	}
 	for _, r := range d.resets {
 		m.Resets = append(m.Resets, r.reset)
--- a/internal/leverrelay/crash.go
+++ b/internal/leverrelay/crash.go
@@ -14,6 +14,7 @@
 	Level       levercrash.Level    `msgpack:"l"`
 	Service     leverid.ServiceID   `msgpack:"s"`
 	Upstream    leverid.UpstreamID  `msgpack:"u"`
+	Born        int64               `msgpack:"b,omitempty"`
 	// Age is the time since the level was reached.
 	Age time.Duration `msgpack:"a"`
 	// Remaining is the time until the entry expires.
@@ -23,7 +24,7 @@
 // NewCrashEntry returns the encoded form of an entry.
 func NewCrashEntry(e levercrash.Entry, now time.Time) CrashEntry {
 	return CrashEntry{
-		Fingerprint: e.Fingerprint, Level: e.Level, Service: e.Service, Upstream: e.Upstream,
+		Fingerprint: e.Fingerprint, Level: e.Level, Service: e.Service, Upstream: e.Upstream, Born: e.Born,
 		Age: now.Sub(e.Since), Remaining: e.Until.Sub(now),
 	}
 }
@@ -31,11 +32,25 @@
 // Entry returns the entry with times of the local clock.
 func (c CrashEntry) Entry(now time.Time) levercrash.Entry {
 	return levercrash.Entry{
-		Fingerprint: c.Fingerprint, Level: c.Level, Service: c.Service, Upstream: c.Upstream,
+		Fingerprint: c.Fingerprint, Level: c.Level, Service: c.Service, Upstream: c.Upstream, Born: c.Born,
 		Since: now.Add(-c.Age), Until: now.Add(c.Remaining),
 	}
 }
 
+// Entries returns the entries of some lists with times of the local clock. Those of levels
+// that only a later build knows are left out.
+func Entries(now time.Time, lists ...[]CrashEntry) []levercrash.Entry {
+	var out []levercrash.Entry
+	for _, l := range lists {
+		for _, c := range l {
+			if c.Level.Valid() {
+				out = append(out, c.Entry(now))
+			}
+		}
+	}
+	return out
+}
+
 // crashRecord is an entry and the change by which it was recorded.
 type crashRecord struct {
 	entry levercrash.Entry
@@ -112,14 +127,17 @@
 	m.notifyWaiters()
 }
 
-// crashesSince returns the levels recorded after seq. A bar that has expired is sent as
-// the suspicion that follows it.
-func (m *Mirror) crashesSince(seq uint64, now time.Time) []CrashEntry {
-	var out []CrashEntry
+// crashesSince returns the levels recorded after seq, Noted ones apart. A bar that has
+// expired is sent as the suspicion that follows it.
+func (m *Mirror) crashesSince(seq uint64, now time.Time) (levels, noted []CrashEntry) {
 	for _, c := range m.crashes {
-		if e, ok := c.entry.Current(now); ok && c.seq > seq {
-			out = append(out, NewCrashEntry(e, now))
+		switch e, ok := c.entry.Current(now); {
+		case !ok || c.seq <= seq:
+		case e.Level == levercrash.Noted:
+			noted = append(noted, NewCrashEntry(e, now))
+		default:
+			levels = append(levels, NewCrashEntry(e, now))
 		}
 	}
-	return out
+	return levels, noted
 }
--- a/internal/leverrelay/crash_test.go
+++ b/internal/leverrelay/crash_test.go
@@ -78,3 +78,21 @@
 	}
 	is.Equal(known, 1)
 }
+
+// TestNotedApart guards against VMs of earlier builds that take a noted content for a barred
+// one, and against levels of later builds that end the process.
+func TestNotedApart(t *testing.T) {
+	is := is.New(t)
+	m := leverrelay.NewMirror()
+	now := time.Now()
+	noted := levercrash.Entry{Fingerprint: 1, Level: levercrash.Noted, Upstream: "u", Born: 5, Since: now, Until: now.Add(time.Minute)}
+	m.AddCrashes([]levercrash.Entry{noted})
+	u, _ := m.Since(0, 0)
+	is.Equal(len(u.Crashes), 0)
+	is.Equal(len(u.Noted), 1)
+	later := leverrelay.CrashEntry{Fingerprint: 2, Level: 200, Remaining: time.Minute}
+	entries := leverrelay.Entries(now, u.Crashes, append(u.Noted, later))
+	is.Equal(len(entries), 1)
+	is.Equal(entries[0].Level, levercrash.Noted)
+	is.Equal(entries[0].Born, int64(5))
+}
--- a/internal/leverrelay/encode.go
+++ b/internal/leverrelay/encode.go
@@ -61,7 +61,7 @@
 		return nil, next, changed, err
 	}
 	// The ages of crash levels hold for the moment only.
-	if len(u.Crashes) == 0 && u.Seq == seq {
+	if len(u.Crashes)+len(u.Noted) == 0 && u.Seq == seq {
 		e.last = append(e.last, encoding{from: from, seq: seq, pathID: pathID, body: body, next: next})
 		e.last = slices.Delete(e.last, 0, max(len(e.last)-maxEncoded, 0))
 	}
--- a/internal/leverrelay/mirror.go
+++ b/internal/leverrelay/mirror.go
@@ -31,6 +31,8 @@
 	Upstreams Delta[leverdirectory.Upstream] `msgpack:"u"`
 	VMs       Delta[levermsg.VM]             `msgpack:"v"`
 	Crashes   []CrashEntry                   `msgpack:"h"`
+	// Noted are crash levels that older builds do not know and would take for bars.
+	Noted []CrashEntry `msgpack:"o,omitempty"`
 	// CrashesKnown means that the parent knows the crash levels that the store holds.
 	CrashesKnown bool `msgpack:"n,omitempty"`
 	// Evacuations holds the evacuated failure domains. It is nil if the parent does not
@@ -137,13 +139,8 @@
 	c.vms = m.vms.merge(u.VMs, u.Reset, m.seq)
 	c.evacuations = m.mergeEvacuations(u)
 	m.publish(c)
-	if len(u.Crashes) > 0 {
-		now := time.Now()
-		entries := make([]levercrash.Entry, len(u.Crashes))
-		for i, c := range u.Crashes {
-			entries[i] = c.Entry(now)
-		}
-		m.addCrashes(m.OnCrashes(entries))
+	if len(u.Crashes)+len(u.Noted) > 0 {
+		m.addCrashes(m.OnCrashes(Entries(time.Now(), u.Crashes, u.Noted)))
 	}
 	if u.CrashesKnown {
 		m.setCrashesKnown()
@@ -219,9 +216,10 @@
 	if reset {
 		seq = 0
 	}
+	crashes, noted := m.crashesSince(seq, time.Now())
 	return &Update{
 		Epoch: m.epoch, Seq: m.seq, Reset: reset, Path: m.path,
 		Configs: m.configs.since(seq), Upstreams: m.upstreams.since(seq), VMs: m.vms.since(seq),
-		Crashes: m.crashesSince(seq, time.Now()), CrashesKnown: m.crashesKnown, Evacuations: m.evacuationsSince(seq),
+		Crashes: crashes, Noted: noted, CrashesKnown: m.crashesKnown, Evacuations: m.evacuationsSince(seq),
 	}, m.changed
 }
