--- a/internal/leverpool/conn.go
+++ b/internal/leverpool/conn.go
@@ -251,13 +251,23 @@
 	}
 }
 
+const (
+	// minStatus and maxStatus bound the statuses that HTTP has.
+	minStatus = 100
+	maxStatus = 599
+)
+
 // checkProtocol returns an error for a head whose framing can't be relied on: of
-// another protocol version, or with a field that net/http does not take for the one
+// another protocol version, with a status that HTTP does not have, such as 000, which
+// http.ReadResponse accepts, or with a field that net/http does not take for the one
 // it resembles, such as "Content-Length ".
 func checkProtocol(resp *http.Response) error {
 	if resp.ProtoMajor != 1 {
 		return errors.Errorf("response in protocol %.20q", resp.Proto)
 	}
+	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+		return errors.Errorf("response with the status %03d (%d to %d)", resp.StatusCode, minStatus, maxStatus)
+	}
 	for name := range resp.Header {
 		for _, c := range []byte(name) {
 			if c <= ' ' || c > '~' {
