internal/leverpool: all bytes of responses in progress share one bound

What callers would have seen: a VM that ends for lack of memory while many upstreams send bytes without end. One response was bounded (64 KiB of head, 8 MiB of body), and large bodies together were, but not heads and bodies below 64 KiB together: 256 upstreams that send 60 KB of a head and then nothing held all of it until their callers' deadlines.

Change: the bytes of each response beyond 16 KiB count, as they arrive, against the memory for large bodies, whichever part of the response they belong to. A call whose response exceeds it fails. Memory for a stated length above 16 KiB is taken as the bytes arrive.

Evidence: TestUnendedResponsesShareMemory failed before for heads and small bodies (all 256 calls held theirs, 1 MiB allowed) and holds now for heads, one field, bodies with and without a length, chunks, trailers and informational responses; after the calls nothing stays counted.

--- a/internal/leverpool/conn.go
+++ b/internal/leverpool/conn.go
@@ -53,7 +53,7 @@
 	p.mu.Lock()
 	p.stats.Dialed++
 	p.mu.Unlock()
-	s := &source{Reader: raw}
+	s := &source{Reader: raw, pool: p}
 	return &conn{Conn: raw, pool: p, host: h, r: bufio.NewReaderSize(s, readBufferSize), source: s, idleLimit: defaultIdleLimit}
 }
 
@@ -96,6 +96,7 @@
 func (c *conn) run() {
 	for c.readOne() {
 	}
+	c.source.release()
 	c.close()
 	c.pool.discard(c.host, c, false)
 	if x := c.takePending(); x != nil {
@@ -214,7 +215,7 @@
 		return nil, false, errors.Annotate(ErrBadResponse, err.Error())
 	}
 	reply := &Reply{Status: resp.StatusCode, Header: resp.Header}
-	if reply.Body, err = c.pool.readBody(resp); err != nil {
+	if reply.Body, err = readBody(resp); err != nil {
 		return nil, false, errors.Annotate(ErrBadResponse, err.Error())
 	}
 	// A complete body has no rest.
--- a/internal/leverpool/pool.go
+++ b/internal/leverpool/pool.go
@@ -72,8 +72,8 @@
 type Pool struct {
 	// Dial replaces the TCP dialer in tests.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// MaxBodyBytes bounds the memory of large bodies that are being received, in
-	// bytes; 0 means 64 MiB. A call whose body would exceed it fails.
+	// MaxBodyBytes bounds the memory of large responses that are being received, in
+	// bytes; 0 means 64 MiB. A call whose response would exceed it fails.
 	MaxBodyBytes int64
 
 	bodyBytes atomic.Int64
