--- a/internal/leverarchive/archive_test.go
+++ b/internal/leverarchive/archive_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,8 +23,10 @@
 
 var errDown = errors.New("the store is down")
 
-// memoryStore holds records in memory. It is not safe for concurrent use.
+// memoryStore holds records in memory. It is safe for concurrent use if its fields are
+// changed by update and read after wait.
 type memoryStore struct {
+	mu      sync.Mutex
 	records map[leverid.Fingerprint]leverarchive.Record
 	rev     leverfeed.Revision
 	calls   int
@@ -32,13 +35,27 @@
 	fails, hangs, loses bool
 }
 
-// call begins a call. It returns an error if the call is not made, and what the caller
+func (s *memoryStore) update(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// wait lets d pass and the archives come to rest.
+func wait(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// call begins a call, with the lock held. It returns an error if the call is not made, and what the caller
 // gets if it is.
 func (s *memoryStore) call(ctx context.Context) (err, answer error) {
 	s.calls++
 	switch {
 	case s.hangs:
+		s.mu.Unlock()
 		<-ctx.Done()
+		s.mu.Lock()
 		return ctx.Err(), nil
 	case s.fails:
 		return errDown, nil
@@ -49,6 +66,8 @@
 }
 
 func (s *memoryStore) List(ctx context.Context) ([]leverarchive.Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err, answer := s.call(ctx); err != nil || answer != nil {
 		return nil, errDown
 	}
@@ -64,6 +83,8 @@
 }
 
 func (s *memoryStore) write(ctx context.Context, e levercrash.Entry, rev leverfeed.Revision) (leverarchive.Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	err, answer := s.call(ctx)
 	if err != nil {
 		return leverarchive.Record{}, err
@@ -78,6 +99,8 @@
 }
 
 func (s *memoryStore) Remove(ctx context.Context, f leverid.Fingerprint, rev leverfeed.Revision) (leverarchive.Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	err, answer := s.call(ctx)
 	if err != nil {
 		return leverarchive.Record{}, err
@@ -130,10 +153,10 @@
 func TestArchiveOutlivesVMs(t *testing.T) {
 	cases := map[string]func(s *memoryStore, on bool){
 		"calm":                   func(*memoryStore, bool) {},
-		"the store is down":      func(s *memoryStore, on bool) { s.fails = on },
-		"the store is silent":    func(s *memoryStore, on bool) { s.hangs = on },
-		"answers are lost":       func(s *memoryStore, on bool) { s.loses = on },
-		"another VM writes also": func(s *memoryStore, on bool) { s.other(on) },
+		"the store is down":      func(s *memoryStore, on bool) { s.update(func() { s.fails = on }) },
+		"the store is silent":    func(s *memoryStore, on bool) { s.update(func() { s.hangs = on }) },
+		"answers are lost":       func(s *memoryStore, on bool) { s.update(func() { s.loses = on }) },
+		"another VM writes also": func(s *memoryStore, on bool) { s.update(func() { s.other(on) }) },
 	}
 	for name, disturb := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -144,23 +167,23 @@
 				is.True(first.read)
 				disturb(s, true)
 				first.set(7, levercrash.Suspect)
-				time.Sleep(8 * time.Second)
+				wait(8 * time.Second)
 				disturb(s, false)
-				time.Sleep(8 * time.Second)
+				wait(8 * time.Second)
 				is.Equal(s.records[7].Entry.Level, levercrash.Suspect)
 				first.set(7, levercrash.Barred)
-				time.Sleep(time.Second)
+				wait(time.Second)
 				first.stop()
 
 				disturb(s, true)
 				second := newVM(s)
-				time.Sleep(3 * time.Second)
+				wait(3 * time.Second)
 				disturb(s, false)
-				time.Sleep(8 * time.Second)
+				wait(8 * time.Second)
 				is.True(second.read)
 				is.Equal(second.level(7), levercrash.Barred)
 				is.Equal(second.Len(), 1)
-				time.Sleep(time.Hour)
+				wait(time.Hour)
 				is.Equal(second.level(7), levercrash.Clear)
 				is.Equal(len(s.records), 0) // the record of the expired level is removed
 				second.stop()
@@ -188,10 +211,10 @@
 		is := is.New(t)
 		s := &memoryStore{records: make(map[leverid.Fingerprint]leverarchive.Record)}
 		v := newVM(s)
-		time.Sleep(time.Hour)
+		wait(time.Hour)
 		is.Equal(s.calls, 1) // the list at the start
 		v.set(7, levercrash.Barred)
-		time.Sleep(5 * time.Minute)
+		wait(5 * time.Minute)
 		is.Equal(s.calls, 2)
 		v.stop()
 		synctest.Wait()
@@ -206,11 +229,11 @@
 		s := &memoryStore{records: make(map[leverid.Fingerprint]leverarchive.Record)}
 		v := newVM(s)
 		v.set(7, levercrash.Suspect)
-		time.Sleep(3 * time.Second)
+		wait(3 * time.Second)
 		is.Equal(len(s.records), 1)
 		is.True(v.guard.ClearSuspect(7, time.Now()))
 		v.Changed()
-		time.Sleep(time.Second)
+		wait(time.Second)
 		is.Equal(len(s.records), 0)
 		v.stop()
 		synctest.Wait()
@@ -242,9 +265,9 @@
 				v := newVM(s)
 				is.Equal(v.level(7), c.want)
 				if c.lasts > 0 {
-					time.Sleep(c.lasts - time.Millisecond)
+					wait(c.lasts - time.Millisecond)
 					is.Equal(v.level(7), levercrash.Barred)
-					time.Sleep(time.Millisecond)
+					wait(time.Millisecond)
 					is.Equal(v.level(7), levercrash.Suspect)
 				}
 				v.stop()
@@ -262,14 +285,13 @@
 		s := &memoryStore{records: make(map[leverid.Fingerprint]leverarchive.Record)}
 		v := newVM(s)
 		v.set(7, levercrash.Barred)
-		time.Sleep(time.Second)
+		wait(time.Second)
 		is.Equal(len(s.records), 1)
-		clear(s.records)
-		s.fails = true
+		s.update(func() { clear(s.records); s.fails = true })
 		v.Reread()
-		time.Sleep(time.Second)
-		s.fails = false
-		time.Sleep(2 * time.Second)
+		wait(time.Second)
+		s.update(func() { s.fails = false })
+		wait(2 * time.Second)
 		is.Equal(s.records[7].Entry.Level, levercrash.Barred)
 		v.stop()
 		synctest.Wait()
