--- a/internal/levernode/era.go
+++ b/internal/levernode/era.go
@@ -1,11 +1,9 @@
 package levernode
 
 import (
-	"context"
 	"slices"
 
 	"arbutuslever.dev/lever/internal/leverfeed"
-	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/levermetric"
 )
 
@@ -61,24 +59,8 @@
 	if len(removed) == 0 || !n.relay.IsWatching() || n.removedIn.Swap(uint32(era)) >= uint32(era) {
 		return
 	}
+	n.log.Info("the store's copy holds entries of VMs that had been removed; removing them again", "era", era, "vms", len(removed))
+	n.opts.Metrics.Add(levermetric.Name("store-entries-written-again"), int64(len(removed)))
 	r := &entryRemoval{n, removed}
 	go r.run(n.ctx)
 }
-
-// entryRemoval removes the entries of VMs that had been removed before the store came
-// back, one after the other.
-type entryRemoval struct {
-	node *Node
-	vms  []string
-}
-
-func (r *entryRemoval) run(ctx context.Context) {
-	for _, vm := range r.vms {
-		err := r.node.opts.Store.Deregister(ctx, leverid.VMID(vm))
-		r.node.log.Info("requested again the removal of a VM's entry, which the store's copy holds", "vm", vm, "err", err)
-		r.node.opts.Metrics.Add(levermetric.Name("store-entries-written-again"), 1)
-		if !r.node.timer.Sleep(ctx, r.node.recordPause()) {
-			return
-		}
-	}
-}
--- a/internal/levernode/life.go
+++ b/internal/levernode/life.go
@@ -123,7 +123,8 @@
 	for n.timer.Sleep(ctx, probeInterval) {
 		for _, vm := range n.members.Probes(n.timer.Now()) {
 			if !n.probe(ctx, vm) && n.relay.IsWatching() && n.members.DownFor(vm.ID, n.timer.Now()) > removeAfter {
-				n.removeEntry(ctx, vm.ID)
+				r := &entryRemoval{n, []string{string(vm.ID)}}
+				go r.run(ctx)
 			}
 		}
 	}
@@ -139,13 +140,6 @@
 	return true
 }
 
-// removeEntry removes a VM's entry from the store. A VM that is still running
-// writes its entry again.
-func (n *Node) removeEntry(ctx context.Context, id leverid.VMID) {
-	err := n.opts.Store.Deregister(ctx, id)
-	n.log.Info("requested the removal of an unresponsive VM's entry", "vm", id, "silent-for", removeAfter, "err", err)
-}
-
 // SetTerms sets the limits on extra attempts.
 func (n *Node) SetTerms(t leverbudget.Terms) { n.budget.SetTerms(t) }
 
