internal/leverengine: contents that crash upstreams don't hide each other

Cause: the reset of a new connection counted as evidence only if the last one on this VM, at any upstream, was for the same content or over a second ago; else the upstream was taken to be at its connection limit. Connections to upstreams that have come back are new, so that two contents hid each other.

Change: such resets are compared at one run of one upstream only.

--- a/internal/leverengine/crash.go
+++ b/internal/leverengine/crash.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
 	"arbutuslever.dev/lever/internal/levercrash"
+	"arbutuslever.dev/lever/internal/leverdirectory"
 	"arbutuslever.dev/lever/internal/leverhealth"
 	"arbutuslever.dev/lever/internal/leverid"
 	"arbutuslever.dev/lever/internal/leverpool"
@@ -42,25 +44,41 @@
 // evidence that such resets for other contents are not crashes.
 const newConnResetWindow = time.Second
 
-// newConnResets holds the fingerprint of the request that last had a new
-// connection closed without a response. If this happens to different contents at
-// about the same time, the upstreams are at their connection limits and have not
-// crashed. The zero value is ready to use. It is safe for concurrent use.
+// newConnResets holds, for each run of an upstream, the fingerprint of the request that
+// last had a new connection closed without a response. If this happens to different contents
+// at one upstream at about the same time, it is at its connection limit and has not crashed.
+// At different upstreams it says nothing: connections to upstreams that come back from
+// crashes are new, and several contents may be crashing them. The zero value is ready to
+// use. It is safe for concurrent use.
 type newConnResets struct {
 	mu   sync.Mutex
-	last leverid.Fingerprint
-	at   time.Time
+	last map[leverdirectory.Key]newConnReset
 }
 
+type newConnReset struct {
+	fingerprint leverid.Fingerprint
+	at          time.Time
+}
+
+// maxNewConnResets bounds the upstreams whose last reset is remembered; those that are
+// over newConnResetWindow ago go first.
+const maxNewConnResets = 1024
+
 // recordedAlone records the reset of a new connection for a fingerprint. It
-// reports whether the previous one was for the same fingerprint or more than
-// newConnResetWindow ago.
-func (r *newConnResets) recordedAlone(f leverid.Fingerprint, now time.Time) bool {
+// reports whether the previous one at that upstream was for the same fingerprint or more
+// than newConnResetWindow ago.
+func (r *newConnResets) recordedAlone(f leverid.Fingerprint, u leverdirectory.Key, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	recordedAlone := r.last == f || now.Sub(r.at) > newConnResetWindow
-	r.last, r.at = f, now
-	return recordedAlone
+	if len(r.last) >= maxNewConnResets {
+		maps.DeleteFunc(r.last, func(_ leverdirectory.Key, l newConnReset) bool { return now.Sub(l.at) > newConnResetWindow })
+	}
+	l, known := r.last[u]
+	if r.last == nil || len(r.last) >= maxNewConnResets {
+		r.last = make(map[leverdirectory.Key]newConnReset)
+	}
+	r.last[u] = newConnReset{f, now}
+	return !known || l.fingerprint == f || now.Sub(l.at) > newConnResetWindow
 }
 
 // partOf returns the index of the part that an upstream belongs to, or 0 if it
@@ -93,7 +111,7 @@
 			f.endTrial(now)
 		}
 		f.releaseHeld(now)
-	case errors.Is(a.err, leverpool.ErrNewConnReset) && !e.newConnResets.recordedAlone(f.fingerprint, now):
+	case errors.Is(a.err, leverpool.ErrNewConnReset) && !e.newConnResets.recordedAlone(f.fingerprint, a.upstream().Key(), now):
 		// The previous reset of a new connection was for other content, so the
 		// upstream is at its connection limit.
 	case errors.Is(a.err, leverpool.ErrReset), errors.Is(a.err, leverpool.ErrNewConnReset):
