internal/levernode: VMs that watch the store for a moment don't read the crash records

At the end of an outage each VM without a path reads the store until its parent has reached it, and read the records too. A VM that knows the levels now waits for a second before it reads them.

--- a/internal/levernode/archive.go
+++ b/internal/levernode/archive.go
@@ -14,6 +14,9 @@
 	// crash levels of contents are not known. VMs of builds without records do not say
 	// that they know them.
 	levelsWait = 3 * time.Second
+	// archiveDelay is how long a VM that knows the crash levels watches the store before it
+	// reads the records: at the end of an outage many VMs watch it for a moment.
+	archiveDelay = time.Second
 	// minRecordPause and recordPausePerVM, multiplied by the number of VMs, bound the
 	// writes of crash levels; the larger pause applies. All VMs may watch the store at
 	// once, and then make 250 writes/s together.
@@ -37,6 +40,9 @@
 
 func (n *Node) runArchive(ctx context.Context, wg *sync.WaitGroup) {
 	defer wg.Done()
+	if n.mirror.CrashesKnown() && !n.timer.Sleep(ctx, archiveDelay) {
+		return
+	}
 	n.archive.Run(ctx)
 }
 
--- a/internal/leverrelay/crash.go
+++ b/internal/leverrelay/crash.go
@@ -115,6 +115,13 @@
 	m.setCrashesKnown()
 }
 
+// CrashesKnown reports whether the crash levels that the store holds are known.
+func (m *Mirror) CrashesKnown() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.crashesKnown
+}
+
 func (m *Mirror) setCrashesKnown() {
 	if m.crashesKnown {
 		return
