--- a/internal/levernode/archive.go
+++ b/internal/levernode/archive.go
@@ -14,9 +14,12 @@
 	// crash levels of contents are not known. VMs of builds without records do not say
 	// that they know them.
 	levelsWait = 3 * time.Second
-	// archiveDelay is how long a VM that knows the crash levels watches the store before it
-	// reads the records: at the end of an outage many VMs watch it for a moment.
+	// archiveDelay is how long a VM watches the store before it reads the records, unless
+	// others depend on it: at a start and at the end of an outage many VMs watch the store
+	// for a moment.
 	archiveDelay = time.Second
+	// archivePollInterval is how often it looks whether they do.
+	archivePollInterval = 50 * time.Millisecond
 	// minRecordPause and recordPausePerVM, multiplied by the number of VMs, bound the
 	// writes of crash levels; the larger pause applies. All VMs may watch the store at
 	// once, and then make 250 writes/s together.
@@ -40,12 +43,27 @@
 
 func (n *Node) runArchive(ctx context.Context, wg *sync.WaitGroup) {
 	defer wg.Done()
-	if n.mirror.CrashesKnown() && !n.timer.Sleep(ctx, archiveDelay) {
+	if !n.awaitLevels(ctx) {
 		return
 	}
 	n.archive.Run(ctx)
 }
 
+// awaitLevels waits for archiveDelay unless this VM has to read the records at once: it does
+// not know the levels, and the others learn them from it. It returns false if ctx ends.
+func (n *Node) awaitLevels(ctx context.Context) bool {
+	until := n.timer.Now().Add(archiveDelay)
+	for n.timer.Now().Before(until) {
+		if !n.mirror.CrashesKnown() && n.relay.IsFirst() {
+			return true
+		}
+		if !n.timer.Sleep(ctx, archivePollInterval) {
+			return false
+		}
+	}
+	return true
+}
+
 // runLevelsWait ends the wait for the crash levels.
 func (n *Node) runLevelsWait(ctx context.Context) {
 	if n.timer.Sleep(ctx, levelsWait) && n.engine.Directory.AwaitLevels(false) {
--- a/internal/leverrelay/relay.go
+++ b/internal/leverrelay/relay.go
@@ -153,6 +153,15 @@
 	return rank >= 0 && rank < watchCandidates
 }
 
+// IsFirst reports whether the other VMs learn from this one what the store holds: it is a
+// watch candidate or, while no VM is known, a seed.
+func (r *Relay) IsFirst() bool {
+	if r.Members.Len() == 0 {
+		return len(r.Seeds) == 0 || r.isSeed()
+	}
+	return r.IsWatchCandidate()
+}
+
 // isParent reports whether vm is the preferred parent.
 func (r *Relay) isParent(vm levermsg.VM) bool {
 	parents := r.parents()
