platform, internal/leverfeed: eras of the store may begin at 0

Cause: era 0 stood for one that is not known, so that the first return of a store that counts from 0 would have been taken for the first era that is seen.

The archive reads again at once when its records are outdated.

--- a/internal/leverarchive/archive.go
+++ b/internal/leverarchive/archive.go
@@ -116,6 +116,9 @@
 		if !ok {
 			return
 		}
+		if a.outdated.Load() {
+			continue
+		}
 		review := a.Timer.After(cmp.Or(wait, reviewInterval))
 		select {
 		case <-wake:
@@ -171,8 +174,8 @@
 	r.Merge(entries)
 }
 
-// write makes all changes that are due, and returns the time until others may be, or 0.
-// It returns false if ctx ends.
+// write makes all changes that are due, unless the records become outdated, and returns the
+// time until others may be due, or 0. It returns false if ctx ends.
 func (r *run) write(ctx context.Context) (wait time.Duration, ok bool) {
 	for ctx.Err() == nil && !r.outdated.Load() {
 		now := r.Timer.Now()
@@ -187,7 +190,7 @@
 		r.backoff = 0
 		r.Timer.Sleep(ctx, r.Pause())
 	}
-	return time.Millisecond, ctx.Err() == nil
+	return 0, ctx.Err() == nil
 }
 
 // apply makes a change and notes the record that the store then holds. A conflict is not
--- a/internal/leverfeed/revision.go
+++ b/internal/leverfeed/revision.go
@@ -1,9 +1,20 @@
 package leverfeed
 
+import "math"
+
 // Era counts how often the store has come back from an older copy. It is 0 if it is not
-// known.
+// known, otherwise one more than the number that the store states, which may be 0.
 type Era uint16
 
+// MaxStated is the largest number of an era that a store may state.
+const MaxStated = math.MaxUint16 - 1
+
+// EraOf returns the era with the number, at most MaxStated, that the store states.
+func EraOf(stated uint64) Era { return Era(stated + 1) }
+
+// Stated returns the number that the store states, or -1 if the era is not known.
+func (e Era) Stated() int { return int(e) - 1 }
+
 // Revision is the number of a change in the store, with the store's era in its upper 16
 // bits: the order of revisions is that of changes, also after the store has come back from
 // an older copy and gives numbers out again.
--- a/internal/leverrelay/collection.go
+++ b/internal/leverrelay/collection.go
@@ -8,9 +8,9 @@
 )
 
 // collection holds the items of one collection of the store, as the store holds them, and
-// the change that last affected each, so that a child is sent only what is new to it. What
-// counts of them after the store has come back from an older copy each VM judges by what
-// it knows itself.
+// the change that last affected each, so that a child is sent only what is new to it. After
+// the store has come back from an older copy, each VM decides by what it knew before which
+// of the items count.
 type collection[T any] struct {
 	revision leverfeed.Revision
 	byName   map[string]entry[T]
@@ -189,7 +189,7 @@
 			}
 		}
 		changed := c.replace(items, rev, seq)
-		c.bury(delta.Items, seq)
+		c.noteDeleted(delta.Items, seq)
 		return changed
 	}
 	return c.advance(rev, func() bool {
@@ -201,8 +201,8 @@
 	})
 }
 
-// bury notes the deleted items of a complete update that are not known.
-func (c *collection[T]) bury(items []leverfeed.Item[T], seq uint64) {
+// noteDeleted notes the deleted items of a complete update that are not known.
+func (c *collection[T]) noteDeleted(items []leverfeed.Item[T], seq uint64) {
 	for _, it := range items {
 		if _, ok := c.byName[it.Name]; !ok && it.Gone {
 			c.byName[it.Name] = entry[T]{value: it.Value, deleted: true, seq: seq, deletedAt: time.Now()}
