review: cases 11 to 14 in their final order; removed machines dropped

Cause: an earlier case, review/8, already shows that tenants with limits are refused after most machines were removed for good. Our case on that is the same fault.

Change: that case and its part of the stand-in are removed. The crashing requests become cases 11 to 13 (one caller of several, within the answer, after the deadline), the forgotten pause case 14. Goroutines of the stand-in are run methods, as the linter asks.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,4 +4,4 @@
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/arbutuslever ] && [ -x target/review-3/standin3 ] || exit 2
-exec target/review-3/standin3 shrink review/11/record.txt
+exec target/review-3/standin3 caller review/11/record.txt
--- a/review/standin3/crash.go
+++ b/review/standin3/crash.go
@@ -100,7 +100,7 @@
 			time.Sleep(lateAfter)
 		}
 		f.crashes.add(crashed{time.Now(), f.id, id})
-		go f.restart()
+		go (&restart{f}).run()
 		panic(http.ErrAbortHandler)
 	})
 }
@@ -118,8 +118,10 @@
 	time.Sleep(5 * time.Millisecond)
 }
 
-// restart ends the run at once and starts another one later, which registers itself.
-func (f *fragile) restart() {
+// restart ends the run of a leaf and starts another one later, which registers itself.
+type restart struct{ *fragile }
+
+func (f *restart) run() {
 	f.crash()
 	time.Sleep(backAfter)
 	if err := f.listenWith(f.handler()); err != nil {
--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -111,14 +111,22 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.cmd, v.exited = c, make(chan struct{})
-	go func(exited chan struct{}) {
-		// The exit status says nothing here: cases kill processes.
-		_ = c.Wait()
-		close(exited)
-	}(v.exited)
+	go (&waiter{c, v.exited}).run()
 	return nil
 }
 
+// waiter waits for the end of a process.
+type waiter struct {
+	cmd    *exec.Cmd
+	exited chan struct{}
+}
+
+func (w *waiter) run() {
+	// The exit status says nothing here: cases kill processes.
+	_ = w.cmd.Wait()
+	close(w.exited)
+}
+
 func (v *vm) signal(s syscall.Signal) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -140,11 +148,19 @@
 func (f *fleet) stopOnSignal() {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	go func() {
-		<-signals
-		f.stop()
-		os.Exit(failed)
-	}()
+	go (&stopper{f, signals}).run()
+}
+
+// stopper ends a fleet at the first signal.
+type stopper struct {
+	fleet   *fleet
+	signals <-chan os.Signal
+}
+
+func (s *stopper) run() {
+	<-s.signals
+	s.fleet.stop()
+	os.Exit(failed)
 }
 
 // stop ends all processes and removes the folder.
--- a/review/standin3/leaf.go
+++ b/review/standin3/leaf.go
@@ -69,10 +69,15 @@
 	l.http = &http.Server{Handler: h, IdleTimeout: 5 * time.Second}
 	s := l.http
 	l.mu.Unlock()
-	go func() { _ = s.Serve(ln) }()
+	go (&server{s}).run(ln)
 	return nil
 }
 
+type server struct{ *http.Server }
+
+// run serves until the server is closed.
+func (s *server) run(ln net.Listener) { _ = s.Serve(ln) }
+
 // register writes the leaf's entry.
 func (l *leaf) register(state string) error {
 	l.mu.Lock()
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -41,7 +41,7 @@
 	address string
 }
 
-var cases = map[string]func(s *scene) (int, error){"pause": runPause, "weights": runWeights, "caller": runCaller, "midway": runMidway, "late": runLate, "starved": runStarved, "shrink": runShrink}
+var cases = map[string]func(s *scene) (int, error){"pause": runPause, "weights": runWeights, "caller": runCaller, "midway": runMidway, "late": runLate, "starved": runStarved}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
@@ -65,7 +65,7 @@
 		return failed
 	}
 	s.address = ln.Addr().String()
-	go func() { _ = http.Serve(ln, s.store) }()
+	go (&server{&http.Server{Handler: s.store}}).run(ln)
 	s.printf("case %s, with the disruption: %t", name, s.trouble)
 	status, err := cases[name](s)
 	if err != nil {
